--- /dev/null
+++ b/src/config/config_func.h
@@ -0,0 +1,57 @@
+/** @file config_func.h Reading, checking and merging configuration. */
+#pragma once
+
+#include "config/config_type.h"
+#include "core/json_fields.h"
+
+namespace lhub {
+
+/** Tables of fields, one a kind of object. Thread safe. */
+const std::vector<json_field<service_config>>& serviceFields();
+const std::vector<json_field<place_config>>& placeFields();
+const std::vector<json_field<endpoint_config>>& endpointFields();
+const std::vector<json_field<shift_config>>& shiftFields();
+const std::vector<json_field<drain_config>>& drainFields();
+const std::vector<json_field<vm_config>>& vmFields();
+
+/** Prefix of configuration in the store; other kinds of objects live beside it. */
+inline constexpr std::string_view StorePrefix = "config/";
+
+/** Key in the store of the configuration object @p key. Thread safe. */
+std::string storeKey(std::string_view key);
+
+/** Takes the store's prefix off the keys of a watch. */
+void stripPrefix(std::vector<keyed_object>& objects);
+
+/** Splits "a/b/c" into its parts. Thread safe. */
+std::vector<std::string> splitKey(std::string_view key);
+
+/**
+ * Merges one object. An older or equal version changes nothing, so the order, the source and
+ * repetition of messages do not matter.
+ * @return whether the state changed.
+ */
+bool mergeObject(config_state& state, const std::string& key, const config_object& object);
+
+/** All objects changed after @p since, in the order of their versions. */
+std::vector<keyed_object> objectsSince(const config_state& state, std::uint64_t since);
+
+/**
+ * Applies one object to the parsed view.
+ * @return the faults that kept it out; empty when it is in force or its kind is none of ours.
+ */
+std::vector<field_fault> applyObject(config_view& view, const std::string& key, const config_object& object);
+
+/** Region of @p zone; empty when unknown. */
+std::string regionOf(const config_view& view, const std::string& zone);
+
+/** Whether a drain covers the endpoint. */
+bool isEndpointDrained(const config_view& view, const endpoint_config& endpoint);
+
+/** Whether a drain covers the zone itself or its region. */
+bool isZoneDrained(const config_view& view, const std::string& zone);
+
+/** Whether the entry VM is leaving or a drain covers it. */
+bool isVmLeaving(const config_view& view, const vm_config& vm);
+
+} // namespace lhub
--- /dev/null
+++ b/src/core/json_src.cpp
@@ -0,0 +1,2 @@
+/** @file json_src.cpp Compiles Boost.JSON once into the library. */
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,96 @@
+/** @file entry.cpp The reducer: one function over all events. */
+#include "entry/entry_internal.h"
+
+namespace lhub {
+
+entry_state makeEntry(const std::string& vm, const std::string& zone, std::uint64_t incarnation)
+{
+    entry_state state;
+    state.vm = vm;
+    state.zone = zone;
+    state.members.self = vm;
+    state.members.incarnation = incarnation;
+    return state;
+}
+
+void logChange(entry_effects& effects, std::string text) { effects.push_back(log_change { std::move(text) }); }
+
+/** Says that the stop is complete once callers, peers and endpoints are done with this VM. */
+static void finishStop(entry_state& state, entry_effects& effects)
+{
+    if (state.stopped || state.stopAsked == time_point {})
+        return;
+    const auto quietFrom = state.stopAsked + state.limits.lookupLifetime + state.limits.spreadTime;
+    if (presentTime(state) < quietFrom || !state.requests.empty() || !state.releases.empty())
+        return;
+    for (const auto& [service, pool] : state.pools) {
+        if (pool.role == pool_role::Owner && preferredOwner(state.members, service) != state.vm)
+            return;
+    }
+    state.stopped = true;
+    logChange(effects, "stop=complete");
+    effects.push_back(stop_done {});
+}
+
+/** Everything that is due with the passing of time. */
+static void onTick(entry_state& state, entry_effects& effects)
+{
+    sendHeartbeats(state, effects);
+    maintainOwnership(state, effects);
+    maintainPools(state, effects);
+    retryPending(state, effects);
+    finishStop(state, effects);
+}
+
+static void onStop(entry_state& state, entry_effects& effects)
+{
+    if (state.stopAsked != time_point {})
+        return;
+    state.stopAsked = presentTime(state);
+    state.members.leaving = true;
+    state.nextHeartbeat = presentTime(state);
+    logChange(effects, "stop=asked requests=" + std::to_string(state.requests.size()));
+}
+
+namespace {
+
+    /** Calls the step for each kind of event. */
+    struct event_visitor {
+        entry_state& state; ///< What it works on.
+        entry_effects& effects; ///< What it brings about.
+
+        void operator()(const tick&) const { onTick(state, effects); }
+        void operator()(const stop_asked&) const { onStop(state, effects); }
+        void operator()(const config_arrived& event) const { onConfig(state, event, effects); }
+        void operator()(const heartbeat_arrived& event) const { onHeartbeat(state, event, effects); }
+        void operator()(const heartbeat_answered& event) const { onHeartbeatAnswer(state, event, effects); }
+        void operator()(const peer_refused& event) const { onPeerRefused(state, event, effects); }
+        void operator()(const acquire_arrived& event) const { onAcquire(state, event, effects); }
+        void operator()(const acquire_answered& event) const { onAcquireAnswer(state, event, effects); }
+        void operator()(const release_arrived& event) const { onRelease(state, event, effects); }
+        void operator()(const release_answered& event) const { onReleaseAnswer(state, event, effects); }
+        void operator()(const take_over_arrived& event) const { onTakeOver(state, event, effects); }
+        void operator()(const take_over_answered& event) const { onTakeOverAnswer(state, event, effects); }
+        void operator()(const held_arrived& event) const { onHeld(state, event, effects); }
+        void operator()(const held_answered& event) const { onHeldAnswer(state, event, effects); }
+        void operator()(const credit_arrived& event) const { onCredit(state, event, effects); }
+        void operator()(const credit_answered& event) const { onCreditAnswer(state, event, effects); }
+        void operator()(const request_arrived& event) const { onRequest(state, event, effects); }
+        void operator()(const claim_answered& event) const { onClaim(state, event, effects); }
+        void operator()(const dispatch_ended& event) const { onDispatchEnd(state, event, effects); }
+        void operator()(const caller_left& event) const { onCallerLeft(state, event, effects); }
+        void operator()(const probe_ended& event) const { onProbe(state, event, effects); }
+    };
+
+} // namespace
+
+void reduce(entry_state& state, const timed_event& timed, entry_effects& effects)
+{
+    if (advanceTime(state.members, timed.now)) {
+        ++state.counters.pauses;
+        lapseOwnership(state, effects);
+    }
+    std::visit(event_visitor { state, effects }, timed.event);
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/entry/entry_pool.cpp
@@ -0,0 +1,276 @@
+/** @file entry_pool.cpp What the owner of a pool decides: slot, hop under a credit, or refusal. */
+#include "config/config_func.h"
+#include "core/hash.h"
+#include "entry/entry_internal.h"
+#include "shift/shift_func.h"
+
+#include <algorithm>
+
+namespace lhub {
+
+/** Zones with endpoints of the service, other than this one and drained ones; those of @p region only, if given. */
+static std::vector<std::string> zonesOf(
+    const entry_state& state, const std::string& service, const std::string& region)
+{
+    std::set<std::string> zones;
+    const auto listed = state.view.endpoints.find(service);
+    if (listed == state.view.endpoints.end())
+        return {};
+    for (const auto& [name, endpoint] : listed->second) {
+        const bool wanted = region.empty() || regionOf(state.view, endpoint.zone) == region;
+        if (wanted && endpoint.zone != state.zone && !isZoneDrained(state.view, endpoint.zone))
+            zones.insert(endpoint.zone);
+    }
+    return { zones.begin(), zones.end() };
+}
+
+/** Takes a credit towards the first of @p zones that has one. */
+static std::optional<acquire_answer> tryHop(entry_state& state, pool_state& pool, const acquire_request& request,
+    const std::vector<std::string>& zones)
+{
+    const auto start = zones.empty() ? 0 : pool.lastReservation % zones.size();
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        const auto& zone = zones[(start + i) % zones.size()];
+        if (std::find(request.avoid.begin(), request.avoid.end(), zone) != request.avoid.end())
+            continue;
+        const auto id = takeCredit(pool, zone, request, presentTime(state));
+        if (id)
+            return acquire_answer { request.callId, acquire_result::Hop, zone, {}, *id, {} };
+    }
+    return std::nullopt;
+}
+
+/** Lets the shifts of this service and region move the request. */
+static std::optional<acquire_answer> tryShifts(
+    entry_state& state, pool_state& pool, const acquire_request& request)
+{
+    const auto now = presentTime(state);
+    const auto age = elapsed(state.confirmedAt, now);
+    std::optional<acquire_answer> answer;
+    for (auto& [name, shift] : state.shifts[pool.service]) {
+        if (shift.config.fromRegion != state.region)
+            continue;
+        countArrival(shift, now);
+        if (answer || !mayMove(shift, age, now))
+            continue;
+        answer = tryHop(state, pool, request, zonesOf(state, pool.service, shift.config.toRegion));
+        if (!answer)
+            continue;
+        countMove(shift, now);
+        ++state.counters.moved;
+    }
+    return answer;
+}
+
+/** Sends the request to another zone when this one has no room: same region first. */
+static std::optional<acquire_answer> trySpill(
+    entry_state& state, pool_state& pool, const acquire_request& request)
+{
+    const auto now = presentTime(state);
+    const auto usable = usableSlots(pool, now);
+    if (pool.localInflight + slotsLent(pool, now) < usable)
+        return std::nullopt;
+    if (auto near = tryHop(state, pool, request, zonesOf(state, pool.service, state.region)))
+        return near;
+    if (pool.queue.size() < usable)
+        return std::nullopt;
+    return tryHop(state, pool, request, zonesOf(state, pool.service, {}));
+}
+
+void decideAcquire(entry_state& state, pool_state& pool, const acquire_request& request, entry_effects& effects)
+{
+    const auto now = presentTime(state);
+    std::vector<acquire_answer> answers;
+    if (!mayAdmit(state.members)) {
+        queueRequest(pool, request, now, answers);
+        deliverAnswers(state, answers, effects);
+        return;
+    }
+    std::optional<acquire_answer> elsewhere;
+    if (request.mayMove && request.avoid.empty())
+        elsewhere = tryShifts(state, pool, request);
+    if (!elsewhere && request.mayMove)
+        elsewhere = trySpill(state, pool, request);
+    if (elsewhere)
+        answers.push_back(std::move(*elsewhere));
+    else
+        acquireSlot(pool, request, now, answers);
+    deliverAnswers(state, answers, effects);
+}
+
+void deliverAnswers(entry_state& state, const std::vector<acquire_answer>& answers, entry_effects& effects)
+{
+    for (const auto& answer : answers) {
+        if (answer.callId & RemoteCallBit)
+            effects.push_back(reply_acquire { answer });
+        else
+            applyAnswer(state, answer, effects);
+    }
+}
+
+/** Sends waiting requests to other zones as far as credits reach. */
+static void spillQueue(entry_state& state, pool_state& pool, std::vector<acquire_answer>& answers)
+{
+    while (!pool.queue.empty() && pool.queue.front().mayMove) {
+        auto elsewhere = trySpill(state, pool, pool.queue.front());
+        if (!elsewhere)
+            return;
+        answers.push_back(std::move(*elsewhere));
+        pool.queue.pop_front();
+    }
+}
+
+void serveOwnedPool(entry_state& state, pool_state& pool, entry_effects& effects)
+{
+    if (pool.role != pool_role::Owner || !mayAdmit(state.members))
+        return;
+    std::vector<acquire_answer> answers;
+    servePool(pool, presentTime(state), answers);
+    spillQueue(state, pool, answers);
+    deliverAnswers(state, answers, effects);
+}
+
+void onAcquire(entry_state& state, const acquire_arrived& event, entry_effects& effects)
+{
+    const auto found = state.pools.find(event.service);
+    if (found == state.pools.end() || found->second.role != pool_role::Owner) {
+        effects.push_back(reply_acquire { { event.request.callId, acquire_result::NotOwner, {}, {}, 0, {} } });
+        return;
+    }
+    decideAcquire(state, found->second, event.request, effects);
+}
+
+/** Whether the outcome speaks against the endpoint; nothing when it says nothing of it. */
+static std::optional<bool> endpointFailed(dispatch_outcome ended)
+{
+    switch (ended) {
+    case dispatch_outcome::Whole:
+        return false;
+    case dispatch_outcome::ConnectFailed:
+    case dispatch_outcome::Lost:
+    case dispatch_outcome::TimedOut:
+    case dispatch_outcome::Cut:
+        return true;
+    default:
+        return std::nullopt;
+    }
+}
+
+void onRelease(entry_state& state, const release_arrived& event, entry_effects& effects)
+{
+    const auto found = state.pools.find(event.service);
+    if (found == state.pools.end() || found->second.role != pool_role::Owner)
+        return;
+    auto& pool = found->second;
+    if (const auto failed = endpointFailed(event.ended))
+        noteEndpointResult(pool, event.endpoint, *failed, event.vm, presentTime(state));
+    const auto endpoint = pool.endpoints.find(event.endpoint);
+    if (event.endpointLeaving && endpoint != pool.endpoints.end())
+        endpoint->second.leaving = true;
+    releaseSlot(pool, event.reservation);
+    serveOwnedPool(state, pool, effects);
+}
+
+void onCredit(entry_state& state, const credit_arrived& event, entry_effects& effects)
+{
+    const auto found = state.pools.find(event.service);
+    if (found == state.pools.end() || found->second.role != pool_role::Owner || !mayAdmit(state.members)) {
+        effects.push_back(reply_credit { event.callId, false, 0, milliseconds(0) });
+        return;
+    }
+    auto& pool = found->second;
+    const auto granted = lendCredit(pool, event.sourceZone, event.wanted, presentTime(state));
+    effects.push_back(reply_credit { event.callId, true, granted, pool.limits.creditTime });
+}
+
+void onCreditAnswer(entry_state& state, const credit_answered& event, entry_effects& effects)
+{
+    const auto found = state.pools.find(event.service);
+    if (found == state.pools.end() || found->second.role != pool_role::Owner)
+        return;
+    if (!event.owner) {
+        ++state.creditTurn[event.service + "/" + event.zone];
+        found->second.held[event.zone].wanted += 1;
+        return;
+    }
+    holdCredit(found->second, event.zone, event.granted, event.valid, event.sentAt);
+    serveOwnedPool(state, found->second, effects);
+}
+
+void onProbe(entry_state& state, const probe_ended& event, entry_effects& effects)
+{
+    const auto found = state.pools.find(event.service);
+    if (found == state.pools.end())
+        return;
+    auto& pool = found->second;
+    const auto endpoint = pool.endpoints.find(event.endpoint);
+    if (endpoint == pool.endpoints.end())
+        return;
+    if (!event.answered) {
+        noteEndpointResult(pool, event.endpoint, true, "probe", presentTime(state));
+        return;
+    }
+    if (endpoint->second.leaving != event.leaving) {
+        logChange(effects,
+            "endpoint=" + event.service + "/" + event.endpoint + " leaving=" + (event.leaving ? "true" : "false"));
+    }
+    noteProbe(pool, event.endpoint, event.leaving, event.inflight, presentTime(state));
+    serveOwnedPool(state, pool, effects);
+}
+
+/** The entry VM of @p zone that is asked for credit: its likely owner, then the others in turn. */
+static const vm_config* creditTarget(entry_state& state, const std::string& service, const std::string& zone)
+{
+    std::vector<rendezvous_candidate> candidates;
+    for (const auto& [name, vm] : state.view.vms) {
+        if (vm.zone == zone && !isVmLeaving(state.view, vm))
+            candidates.push_back({ name, 1 });
+    }
+    if (candidates.empty())
+        return nullptr;
+    const auto order = rendezvousOrder(stableHash(service), candidates);
+    const auto turn = state.creditTurn[service + "/" + zone] % order.size();
+    return &state.view.vms.at(std::string(candidates[order[turn]].name));
+}
+
+/** Asks other zones for credit where it was wanted. */
+static void askCredits(entry_state& state, pool_state& pool, entry_effects& effects)
+{
+    constexpr std::uint32_t WholePercent = 100;
+    const auto now = presentTime(state);
+    const auto taken = pool.localInflight + slotsLent(pool, now) + pool.queue.size();
+    if (taken * WholePercent > std::uint64_t(usableSlots(pool, now)) * pool.limits.busyPercent) {
+        for (const auto& zone : zonesOf(state, pool.service, state.region))
+            ++pool.held[zone].wanted;
+    }
+    for (auto& [zone, held] : pool.held) {
+        const auto wanted = wantedCredit(pool, zone, now);
+        const auto* target = wanted ? creditTarget(state, pool.service, zone) : nullptr;
+        if (target)
+            effects.push_back(send_credit { zone, target->peer, pool.service, *wanted });
+    }
+}
+
+void maintainPools(entry_state& state, entry_effects& effects)
+{
+    constexpr double DemandDecay = 0.95; // per tick
+    const bool probesDue = presentTime(state) >= state.nextProbe;
+    if (probesDue)
+        state.nextProbe = presentTime(state) + state.limits.probeEvery;
+    for (auto& [service, pool] : state.pools) {
+        if (pool.role != pool_role::Owner)
+            continue;
+        pool.localDemand
+            = std::max(pool.localDemand * DemandDecay, pool.localInflight + static_cast<double>(pool.queue.size()));
+        serveOwnedPool(state, pool, effects);
+        askCredits(state, pool, effects);
+        if (!probesDue)
+            continue;
+        const auto config = state.view.services.find(service);
+        const auto path = config == state.view.services.end() ? "/healthz" : config->second.probePath;
+        for (const auto& [name, endpoint] : pool.endpoints)
+            effects.push_back(send_probe { service, name, endpoint.address, path });
+    }
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/entry/entry_request.cpp
@@ -0,0 +1,342 @@
+/** @file entry_request.cpp The life of a request: claim, slot, dispatch, retry, answer. */
+#include "config/config_func.h"
+#include "core/hash.h"
+#include "entry/entry_internal.h"
+#include "request/request_func.h"
+
+#include <algorithm>
+
+namespace lhub {
+
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusTimeout = 504;
+
+/** Ends a request with a problem document. */
+static void refuseRequest(
+    entry_state& state, const request_state& request, unsigned status, const std::string& reason, entry_effects& effects)
+{
+    effects.push_back(answer_caller { request.id, status, request.known, reason });
+    if (request.known == verdict::NotRun) {
+        ++state.counters.refused;
+        if (request.claimVersion > 0)
+            effects.push_back(send_unclaim { request.service, request.key, request.claimVersion });
+    } else {
+        ++state.counters.uncertain;
+    }
+    state.requests.erase(request.id);
+}
+
+/** Sends a release to the pool's owner, if one is known. */
+static void sendRelease(const entry_state& state, pending_release& pending, entry_effects& effects)
+{
+    const auto* owner = announcedOwner(state.members, pending.release.service);
+    if (!owner)
+        return;
+    pending.again = presentTime(state) + state.limits.releaseEvery;
+    effects.push_back(send_release { owner->vm, owner->address, pending.release });
+}
+
+/** Gives the request's reservation back to the pool's owner. */
+static void releaseReservation(
+    entry_state& state, request_state& request, const dispatch_ended& ended, entry_effects& effects)
+{
+    if (request.reservation == 0)
+        return;
+    release_arrived release { request.service, state.vm, request.reservation, request.endpoint, ended.ended,
+        ended.endpointLeaving };
+    request.reservation = 0;
+    const auto pool = state.pools.find(request.service);
+    if (pool != state.pools.end() && pool->second.role == pool_role::Owner) {
+        onRelease(state, release, effects);
+        return;
+    }
+    const auto lapses = request.deadline + seconds(1);
+    auto& pending = state.releases[release.reservation] = { release, presentTime(state), lapses };
+    sendRelease(state, pending, effects);
+}
+
+/** Asks the pool's owner for a slot, or waits until there is an owner. */
+static void seekSlot(entry_state& state, request_state& request, entry_effects& effects)
+{
+    const auto found = state.pools.find(request.service);
+    if (found == state.pools.end()) {
+        const auto copy = request;
+        refuseRequest(state, copy, StatusNotFound, "no service " + copy.service, effects);
+        return;
+    }
+    acquire_request acquire { request.id, request.requestId, state.vm, request.deadline, request.weight, request.avoid,
+        request.sourceZone, request.sourceZone.empty() };
+    if (found->second.role == pool_role::Owner) {
+        request.phase = request_phase::Acquiring;
+        decideAcquire(state, found->second, acquire, effects);
+        return;
+    }
+    const auto* owner = announcedOwner(state.members, request.service);
+    if (!owner) {
+        request.phase = request_phase::Seeking;
+        return;
+    }
+    request.phase = request_phase::Acquiring;
+    effects.push_back(send_acquire { owner->vm, owner->address, request.service, std::move(acquire) });
+}
+
+/** Completes what the caller left open, from the service's configuration. */
+static void fillRequest(request_state& request, const service_config& service, time_point now)
+{
+    request.arrived = now;
+    const auto longest = now + milliseconds(service.deadlineMs);
+    request.deadline = request.deadline == time_point {} ? longest : std::min(request.deadline, longest);
+    const auto& doubled = service.doubleWeight;
+    if (std::find(doubled.begin(), doubled.end(), request.method) != doubled.end())
+        request.weight = 2;
+}
+
+void onRequest(entry_state& state, const request_arrived& event, entry_effects& effects)
+{
+    ++state.counters.requests;
+    earnRetry(state.retries);
+    const auto id = event.request.id;
+    const auto service = state.view.services.find(event.request.service);
+    if (service == state.view.services.end()) {
+        refuseRequest(state, event.request, StatusNotFound, "no service " + event.request.service, effects);
+        return;
+    }
+    if (state.requests.size() >= state.limits.mostRequests) {
+        refuseRequest(state, event.request, StatusUnavailable, "too many requests in flight", effects);
+        return;
+    }
+    auto& request = state.requests[id] = event.request;
+    fillRequest(request, service->second, presentTime(state));
+    const bool needsClaim = !request.key.empty() && !isIdempotent(request.method) && request.sourceZone.empty();
+    if (!needsClaim) {
+        seekSlot(state, request, effects);
+        return;
+    }
+    request.phase = request_phase::Claiming;
+    effects.push_back(send_claim { id, request.service, request.key, request.requestId });
+}
+
+void onClaim(entry_state& state, const claim_answered& event, entry_effects& effects)
+{
+    const auto found = state.requests.find(event.id);
+    if (found == state.requests.end() || found->second.phase != request_phase::Claiming)
+        return;
+    auto& request = found->second;
+    if (event.result == claim_result::First) {
+        request.claimVersion = event.version;
+        seekSlot(state, request, effects);
+        return;
+    }
+    auto copy = request;
+    if (event.result == claim_result::Repeated) {
+        ++state.counters.repeated;
+        copy.known = verdict::MayHaveRun;
+        refuseRequest(state, copy, StatusConflict, "this idempotency key was used before", effects);
+        return;
+    }
+    refuseRequest(state, copy, StatusUnavailable, "the idempotency key could not be claimed", effects);
+}
+
+/** Gives back what was granted to a request that is gone. */
+static void returnGrant(
+    entry_state& state, const std::string& service, const acquire_answer& answer, entry_effects& effects)
+{
+    if (answer.reservation == 0)
+        return;
+    request_state gone;
+    gone.service = service;
+    gone.deadline = presentTime(state) + seconds(1);
+    gone.reservation = answer.reservation;
+    gone.endpoint = answer.endpoint;
+    releaseReservation(state, gone, { 0, dispatch_outcome::CallerGone, false, false }, effects);
+}
+
+/** An entry VM of @p zone for a hop, by rendezvous of the request. */
+static const vm_config* hopTarget(const entry_state& state, const std::string& zone, const request_state& request)
+{
+    std::vector<rendezvous_candidate> candidates;
+    for (const auto& [name, vm] : state.view.vms) {
+        if (vm.zone == zone && !isVmLeaving(state.view, vm))
+            candidates.push_back({ name, 1 });
+    }
+    if (candidates.empty())
+        return nullptr;
+    const auto order = rendezvousOrder(stableHash(request.requestId), candidates);
+    return &state.view.vms.at(std::string(candidates[order.front()].name));
+}
+
+/** Sends the request where the owner said. */
+static void dispatchRequest(
+    entry_state& state, request_state& request, const acquire_answer& answer, entry_effects& effects)
+{
+    request.phase = request_phase::Dispatching;
+    request.reservation = answer.reservation;
+    request.endpoint = answer.endpoint;
+    request.hop = answer.result == acquire_result::Hop;
+    ++request.attempts;
+    auto address = answer.address;
+    if (request.hop) {
+        const auto* target = hopTarget(state, answer.endpoint, request);
+        if (!target) {
+            onDispatchEnd(state, { request.id, dispatch_outcome::ConnectFailed, true, false }, effects);
+            return;
+        }
+        ++state.counters.hops;
+        address = target->http;
+    }
+    effects.push_back(dispatch { request.id, address, request.hop, request.deadline });
+}
+
+void applyAnswer(entry_state& state, const acquire_answer& answer, entry_effects& effects)
+{
+    const auto found = state.requests.find(answer.callId);
+    if (found == state.requests.end() || found->second.phase != request_phase::Acquiring)
+        return;
+    auto& request = found->second;
+    switch (answer.result) {
+    case acquire_result::NotOwner:
+        request.phase = request_phase::Seeking;
+        return;
+    case acquire_result::Shed: {
+        const auto copy = request;
+        refuseRequest(state, copy, StatusUnavailable, answer.reason, effects);
+        return;
+    }
+    default:
+        dispatchRequest(state, request, answer, effects);
+    }
+}
+
+void onAcquireAnswer(entry_state& state, const acquire_answered& event, entry_effects& effects)
+{
+    const auto found = state.requests.find(event.answer.callId);
+    const bool expected = found != state.requests.end() && found->second.phase == request_phase::Acquiring;
+    if (!expected) {
+        returnGrant(state, event.service, event.answer, effects);
+        return;
+    }
+    if (!event.reached) {
+        found->second.phase = request_phase::Seeking;
+        return;
+    }
+    applyAnswer(state, event.answer, effects);
+}
+
+/** Status towards the caller after a dispatch that will not be repeated. */
+static unsigned statusAfter(dispatch_outcome ended)
+{
+    switch (ended) {
+    case dispatch_outcome::TimedOut:
+        return StatusTimeout;
+    case dispatch_outcome::Shed:
+    case dispatch_outcome::ConnectFailed:
+        return StatusUnavailable;
+    default:
+        return StatusBadGateway;
+    }
+}
+
+void onDispatchEnd(entry_state& state, const dispatch_ended& event, entry_effects& effects)
+{
+    const auto found = state.requests.find(event.id);
+    if (found == state.requests.end() || found->second.phase != request_phase::Dispatching)
+        return;
+    auto& request = found->second;
+    noteDispatch(request, event.ended);
+    releaseReservation(state, request, event, effects);
+    if (event.ended == dispatch_outcome::Whole || event.ended == dispatch_outcome::CallerGone) {
+        state.counters.whole += event.ended == dispatch_outcome::Whole ? 1 : 0;
+        state.counters.uncertain += event.ended == dispatch_outcome::Whole ? 0 : 1;
+        state.requests.erase(found);
+        return;
+    }
+    if (mayRetry(request, event.ended, event.replayable, presentTime(state)) && spendRetry(state.retries)) {
+        ++state.counters.retries;
+        seekSlot(state, request, effects);
+        return;
+    }
+    const auto copy = request;
+    refuseRequest(state, copy, statusAfter(event.ended),
+        "dispatch ended: " + std::string(nameOf(DispatchOutcomeNames, event.ended)), effects);
+}
+
+void onCallerLeft(entry_state& state, const caller_left& event, entry_effects&)
+{
+    const auto found = state.requests.find(event.id);
+    if (found == state.requests.end() || found->second.phase == request_phase::Dispatching)
+        return;
+    const auto pool = state.pools.find(found->second.service);
+    if (pool != state.pools.end()) {
+        std::erase_if(
+            pool->second.queue, [&](const acquire_request& waiting) { return waiting.callId == event.id; });
+    }
+    ++state.counters.refused;
+    state.requests.erase(found);
+}
+
+void onReleaseAnswer(entry_state& state, const release_answered& event, entry_effects&)
+{
+    if (event.reached)
+        state.releases.erase(event.reservation);
+}
+
+/** Sends releases that are due; forgets those that lapsed at the owner. */
+static void retryReleases(entry_state& state, entry_effects& effects)
+{
+    const auto now = presentTime(state);
+    std::erase_if(state.releases, [&](const auto& item) { return now >= item.second.lapses; });
+    std::vector<std::uint64_t> ours;
+    for (auto& [id, pending] : state.releases) {
+        if (now < pending.again)
+            continue;
+        const auto& service = pending.release.service;
+        const auto pool = state.pools.find(service);
+        if (pool != state.pools.end() && pool->second.role == pool_role::Owner) {
+            ours.push_back(id);
+            continue;
+        }
+        sendRelease(state, pending, effects);
+    }
+    for (const auto id : ours) {
+        const auto release = state.releases[id].release;
+        state.releases.erase(id);
+        onRelease(state, release, effects);
+    }
+}
+
+/** Asks again for requests whose pool had no owner; refuses those whose deadline has passed. */
+static void retrySeeking(entry_state& state, entry_effects& effects)
+{
+    const auto now = presentTime(state);
+    if (now < state.nextSeek)
+        return;
+    state.nextSeek = now + state.limits.seekEvery;
+    std::vector<std::uint64_t> seeking;
+    for (const auto& [id, request] : state.requests) {
+        if (request.phase == request_phase::Seeking)
+            seeking.push_back(id);
+    }
+    for (const auto id : seeking) {
+        const auto found = state.requests.find(id);
+        if (found == state.requests.end() || found->second.phase != request_phase::Seeking)
+            continue;
+        auto& request = found->second;
+        if (now < request.deadline) {
+            seekSlot(state, request, effects);
+            continue;
+        }
+        const auto copy = request;
+        refuseRequest(state, copy, StatusTimeout, "no owner of the pool answered in time", effects);
+    }
+}
+
+void retryPending(entry_state& state, entry_effects& effects)
+{
+    retryReleases(state, effects);
+    retrySeeking(state, effects);
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/programs/lhub_admin.cpp
@@ -0,0 +1,50 @@
+/** @file lhub_admin.cpp The program lhub-admin: the administration API. */
+#include "net/rpc_func.h"
+#include "programs/program.h"
+#include "shell/admin_shell.h"
+#include "store/http_store.h"
+#include <boost/asio/signal_set.hpp>
+
+namespace lhub {
+
+static constexpr milliseconds StoreTimeout { 3000 };
+
+static int runAdmin(const admin_settings& settings)
+{
+    boost::asio::io_context context(1);
+    auto store = makeHttpStore(context.get_executor(), settings.store, StoreTimeout);
+    if (!store) {
+        LOG(ERROR) << store.reason;
+        return ExitFailed;
+    }
+    admin_shell shell { context, std::move(*store) };
+    const auto service = makeAdminService(shell);
+    const auto server = startRpcServer(settings.listen, *service);
+    if (!server) {
+        LOG(ERROR) << "listen at " << settings.listen << ": not possible";
+        return ExitFailed;
+    }
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
+    const auto work = boost::asio::make_work_guard(context);
+    context.run();
+    server->Shutdown(std::chrono::system_clock::now());
+    return ExitDone;
+}
+
+} // namespace lhub
+
+int main(int argc, char** argv)
+{
+    CLI::App app("laburnumhub administration API");
+    lhub::program_arguments arguments;
+    lhub::addArguments(app, arguments);
+    CLI11_PARSE(app, argc, argv);
+    const auto settings = lhub::settingsOf(arguments, lhub::adminSettingsFields());
+    if (!settings)
+        return lhub::ExitBadSettings;
+    if (arguments.checkOnly)
+        return lhub::ExitDone;
+    lhub::startLogs(argv[0]);
+    return lhub::runAdmin(*settings);
+}
--- /dev/null
+++ b/src/programs/lhub_agent.cpp
@@ -0,0 +1,65 @@
+/** @file lhub_agent.cpp The program lhub-agent: configuration from the store to the entry process, claims, registration. */
+#include "programs/program.h"
+#include "shell/agent_shell.h"
+#include "store/http_store.h"
+#include <boost/asio/signal_set.hpp>
+
+namespace lhub {
+
+static constexpr milliseconds StoreTimeout { 1500 };
+
+/** How this VM registers itself. */
+static vm_config describeVm(const vm_settings& settings)
+{
+    const auto started = std::chrono::system_clock::now().time_since_epoch();
+    const auto incarnation = std::chrono::duration_cast<milliseconds>(started).count();
+    return { settings.vm, settings.zone, settings.http, settings.peer, settings.agent,
+        static_cast<std::uint64_t>(incarnation), false };
+}
+
+static int runAgent(const vm_settings& settings)
+{
+    boost::asio::io_context context(1);
+    const system_clock_source clock;
+    auto store = makeHttpStore(context.get_executor(), settings.store, StoreTimeout);
+    if (!store) {
+        LOG(ERROR) << store.reason;
+        return ExitFailed;
+    }
+    agent_shell shell { context, clock, makeAgent(describeVm(settings), settings.seeds), std::move(*store), {}, {},
+        false, {}, 0, {} };
+    shell.onStopped = [&] { context.stop(); };
+    const auto service = makeAgentService(shell);
+    const auto server = startRpcServer(settings.agent, *service);
+    if (!server) {
+        LOG(ERROR) << "listen at " << settings.agent << ": not possible";
+        return ExitFailed;
+    }
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error)
+            feedAgent(shell, agent_stop_asked {});
+    });
+    startAgent(shell);
+    LOG(INFO) << "agent=" << settings.vm << " state=started";
+    context.run();
+    server->Shutdown(std::chrono::system_clock::now());
+    return ExitDone;
+}
+
+} // namespace lhub
+
+int main(int argc, char** argv)
+{
+    CLI::App app("laburnumhub agent: brings the configuration to the entry process of its VM");
+    lhub::program_arguments arguments;
+    lhub::addArguments(app, arguments);
+    CLI11_PARSE(app, argc, argv);
+    const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
+    if (!settings)
+        return lhub::ExitBadSettings;
+    if (arguments.checkOnly)
+        return lhub::ExitDone;
+    lhub::startLogs(argv[0]);
+    return lhub::runAgent(*settings);
+}
--- /dev/null
+++ b/src/programs/lhub_entry.cpp
@@ -0,0 +1,75 @@
+/** @file lhub_entry.cpp The program lhub-entry: look-ups, admission, forwarding. */
+#include "net/http_func.h"
+#include "programs/program.h"
+#include "shell/entry_shell.h"
+#include "steer/steer_func.h"
+#include <boost/asio/signal_set.hpp>
+
+namespace lhub {
+
+/** Reads the client blocks, if the settings name a file. */
+static outcome<client_table> readClients(const std::string& file)
+{
+    if (file.empty())
+        return success(client_table {});
+    std::ifstream input(file);
+    if (!input)
+        return failure<client_table>("cannot be read");
+    return readClientTable(input);
+}
+
+static int runEntry(const vm_settings& settings, client_table clients)
+{
+    asio::io_context context(1);
+    const system_clock_source clock;
+    const auto incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    entry_shell shell { context, clock, settings, makeEntry(settings.vm, settings.zone, incarnation),
+        std::move(clients), {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {}, nullptr };
+    shell.state.limits.lookupLifetime = seconds(settings.lookupLifetimeSeconds);
+    auto acceptor = listenAt(context.get_executor(), settings.http);
+    if (!acceptor) {
+        LOG(ERROR) << acceptor.reason;
+        return ExitFailed;
+    }
+    const auto service = makePeerService(shell);
+    const auto server = startRpcServer(settings.peer, *service);
+    if (!server) {
+        LOG(ERROR) << "listen at " << settings.peer << ": not possible";
+        return ExitFailed;
+    }
+    shell.onStopped = [&] { context.stop(); };
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error)
+            feedEvent(shell, stop_asked {});
+    });
+    asio::co_spawn(context, serveCallers(shell, *acceptor), asio::detached);
+    startEntry(shell);
+    LOG(INFO) << "vm=" << settings.vm << " state=started";
+    context.run();
+    server->Shutdown(std::chrono::system_clock::now());
+    return ExitDone;
+}
+
+} // namespace lhub
+
+int main(int argc, char** argv)
+{
+    CLI::App app("laburnumhub entry VM: answers look-ups and forwards requests");
+    lhub::program_arguments arguments;
+    lhub::addArguments(app, arguments);
+    CLI11_PARSE(app, argc, argv);
+    const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
+    if (!settings)
+        return lhub::ExitBadSettings;
+    auto clients = lhub::readClients(settings->clients);
+    if (!clients) {
+        std::cerr << settings->clients << ": " << clients.reason << "\n";
+        return lhub::ExitBadSettings;
+    }
+    if (arguments.checkOnly)
+        return lhub::ExitDone;
+    lhub::startLogs(argv[0]);
+    return lhub::runEntry(*settings, std::move(*clients));
+}
--- /dev/null
+++ b/src/programs/lhub_report.cpp
@@ -0,0 +1,97 @@
+/** @file lhub_report.cpp The program lhub-report: what the fleet does, in figures. */
+#include "programs/program.h"
+#include "report/report_func.h"
+
+namespace lhub {
+
+namespace {
+
+    constexpr milliseconds SampleEvery { 50 };
+    constexpr milliseconds CapWindow { 1000 };
+
+    /** Options of all commands. */
+    struct report_options {
+        std::vector<std::string> entries; ///< Entry VMs, IP:port.
+        std::int64_t seconds = 10; ///< How long to watch or wait.
+        std::uint64_t revision = 0; ///< What to wait for.
+        std::uint64_t cap = 0; ///< Cap of the shifts that are watched.
+    };
+
+} // namespace
+
+static asio::awaitable<void> pauseFor(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+static asio::awaitable<int> printStatus(const report_options& options, const clock_source& clock)
+{
+    const auto sample = co_await sampleFleet(options.entries, clock);
+    std::cout << describeFleet(sample);
+    co_return commonRevision(sample) > 0 ? ExitDone : ExitFailed;
+}
+
+/** Waits until every reached VM has the revision in force. */
+static asio::awaitable<int> waitForRevision(const report_options& options, const clock_source& clock)
+{
+    const auto began = clock.now();
+    while (clock.now() < began + seconds(options.seconds)) {
+        const auto sample = co_await sampleFleet(options.entries, clock);
+        if (commonRevision(sample) >= options.revision) {
+            std::cout << "in force everywhere after " << elapsed(began, clock.now()).count() << " ms\n";
+            co_return ExitDone;
+        }
+        co_await pauseFor(SampleEvery);
+    }
+    std::cout << "not in force everywhere after " << options.seconds << " s\n";
+    co_return ExitFailed;
+}
+
+/** Watches the fleet and says what moved in any second. */
+static asio::awaitable<int> watchFleet(const report_options& options, const clock_source& clock)
+{
+    fleet_series series;
+    const auto end = clock.now() + seconds(options.seconds);
+    while (clock.now() < end) {
+        series.samples.push_back(co_await sampleFleet(options.entries, clock));
+        co_await pauseFor(SampleEvery);
+    }
+    std::uint64_t moved = 0;
+    for (std::size_t i = 1; i < series.samples.size(); ++i)
+        moved += fleetRise(series.samples[i - 1], series.samples[i], "counters.moved");
+    const auto highest = highestRise(series, "counters.moved", CapWindow);
+    std::cout << "moved " << moved << ", most in any second " << highest << ", cap " << options.cap << ", samples "
+              << series.samples.size() << "\n";
+    co_return options.cap == 0 || highest <= options.cap ? ExitDone : ExitFailed;
+}
+
+static int runReport(int argc, char** argv)
+{
+    using report_command = asio::awaitable<int> (*)(const report_options&, const clock_source&);
+    CLI::App app("figures of the entry VMs: status, spread of a change, shifts against their caps");
+    report_options options;
+    report_command command = printStatus;
+    app.set_version_flag("--version", LHUB_VERSION);
+    app.add_option("--entry", options.entries, "entry VMs, IP:port")->required();
+    app.add_option("--seconds", options.seconds, "how long to watch or to wait");
+    app.require_subcommand(1);
+    app.add_subcommand("status", "a line for each VM")->callback([&] { command = printStatus; });
+    auto* wait = app.add_subcommand("wait", "until a revision is in force everywhere");
+    wait->add_option("--revision", options.revision, "revision")->required();
+    wait->callback([&] { command = waitForRevision; });
+    auto* watch = app.add_subcommand("watch", "most requests moved in any second");
+    watch->add_option("--cap", options.cap, "cap of the shifts; more in any second exits 1");
+    watch->callback([&] { command = watchFleet; });
+    CLI11_PARSE(app, argc, argv);
+    asio::io_context context(1);
+    const system_clock_source clock;
+    int code = ExitFailed;
+    asio::co_spawn(context, command(options, clock), [&](const std::exception_ptr&, int result) { code = result; });
+    context.run();
+    return code;
+}
+
+} // namespace lhub
+
+int main(int argc, char** argv) { return lhub::runReport(argc, argv); }
--- /dev/null
+++ b/src/report/report.cpp
@@ -0,0 +1,123 @@
+/** @file report.cpp Sampling the fleet and reading samples. */
+#include "report/report_func.h"
+
+#include "net/http_func.h"
+#include <algorithm>
+#include <boost/asio/experimental/channel.hpp>
+#include <iomanip>
+#include <sstream>
+
+namespace lhub {
+
+constexpr milliseconds StatusTimeout { 1000 };
+
+/** Asks one VM; tells @p done when it has answered or not. */
+static asio::awaitable<void> sampleVm(vm_sample& sample, asio::experimental::channel<void(boost::system::error_code)>& done)
+{
+    const auto endpoint = parseAddress(sample.address);
+    if (endpoint) {
+        const auto reply = co_await httpCall(*endpoint, http_request(http::verb::get, "/v1/status", 11), StatusTimeout);
+        if (reply.result == http_result::Answered) {
+            const auto parsed = parseJson(reply.response.body());
+            sample.reached = parsed.value.has_value();
+            sample.status = sample.reached ? *parsed : json::value();
+        }
+    }
+    done.try_send(boost::system::error_code());
+}
+
+asio::awaitable<fleet_sample> sampleFleet(const std::vector<std::string>& addresses, const clock_source& clock)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    fleet_sample sample;
+    sample.at = clock.now();
+    for (const auto& address : addresses)
+        sample.vms.push_back({ address, false, {} });
+    asio::experimental::channel<void(boost::system::error_code)> done(executor, sample.vms.size());
+    for (auto& vm : sample.vms)
+        asio::co_spawn(executor, sampleVm(vm, done), asio::detached);
+    for (std::size_t i = 0; i < sample.vms.size(); ++i)
+        co_await done.async_receive(asio::use_awaitable);
+    co_return sample;
+}
+
+std::uint64_t statusNumber(const vm_sample& sample, std::string_view path)
+{
+    const json::value* at = &sample.status;
+    while (!path.empty()) {
+        const auto dot = path.find('.');
+        const auto* object = at->if_object();
+        at = object ? object->if_contains(path.substr(0, dot)) : nullptr;
+        if (!at)
+            return 0;
+        path = dot == std::string_view::npos ? std::string_view() : path.substr(dot + 1);
+    }
+    boost::system::error_code error;
+    const auto number = at->to_number<std::uint64_t>(error);
+    return error ? 0 : number;
+}
+
+std::uint64_t fleetRise(const fleet_sample& from, const fleet_sample& to, std::string_view path)
+{
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < to.vms.size() && i < from.vms.size(); ++i) {
+        if (!to.vms[i].reached)
+            continue;
+        const auto before = from.vms[i].reached ? statusNumber(from.vms[i], path) : 0;
+        const auto after = statusNumber(to.vms[i], path);
+        total += after >= before ? after - before : after;
+    }
+    return total;
+}
+
+std::uint64_t highestRise(const fleet_series& series, std::string_view path, milliseconds window)
+{
+    std::uint64_t highest = 0;
+    std::size_t first = 0;
+    std::vector<std::uint64_t> steps { 0 };
+    std::uint64_t inside = 0;
+    for (std::size_t i = 1; i < series.samples.size(); ++i) {
+        steps.push_back(fleetRise(series.samples[i - 1], series.samples[i], path));
+        inside += steps.back();
+        while (elapsed(series.samples[first].at, series.samples[i].at) > window)
+            inside -= steps[++first];
+        highest = std::max(highest, inside);
+    }
+    return highest;
+}
+
+std::uint64_t commonRevision(const fleet_sample& sample)
+{
+    std::uint64_t common = UINT64_MAX;
+    for (const auto& vm : sample.vms) {
+        if (vm.reached)
+            common = std::min(common, statusNumber(vm, "revision"));
+    }
+    return common == UINT64_MAX ? 0 : common;
+}
+
+std::string describeFleet(const fleet_sample& sample)
+{
+    std::ostringstream text;
+    text << std::left << std::setw(8) << "VM" << std::setw(12) << "ZONE" << std::right << std::setw(9) << "REVISION"
+         << std::setw(10) << "AGE_MS" << std::setw(10) << "REQUESTS" << std::setw(9) << "REFUSED" << std::setw(10)
+         << "UNCERTAIN" << std::setw(8) << "RETRIES" << std::setw(7) << "HOPS" << std::setw(7) << "MOVED"
+         << "\n";
+    for (const auto& vm : sample.vms) {
+        if (!vm.reached) {
+            text << vm.address << ": no answer\n";
+            continue;
+        }
+        const auto& status = vm.status.as_object();
+        text << std::left << std::setw(8) << std::string(status.at("vm").as_string()) << std::setw(12)
+             << std::string(status.at("zone").as_string()) << std::right << std::setw(9)
+             << statusNumber(vm, "revision") << std::setw(10) << statusNumber(vm, "confirmed_ms_ago") << std::setw(10)
+             << statusNumber(vm, "counters.requests") << std::setw(9) << statusNumber(vm, "counters.refused")
+             << std::setw(10) << statusNumber(vm, "counters.uncertain") << std::setw(8)
+             << statusNumber(vm, "counters.retries") << std::setw(7) << statusNumber(vm, "counters.hops")
+             << std::setw(7) << statusNumber(vm, "counters.moved") << "\n";
+    }
+    return text.str();
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/request/request.cpp
@@ -0,0 +1,44 @@
+/** @file request.cpp Rules for retries and verdicts. */
+#include "request/request_func.h"
+
+#include <algorithm>
+
+namespace lhub {
+
+bool isIdempotent(std::string_view method)
+{
+    constexpr std::array<std::string_view, 6> Methods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE" };
+    return std::find(Methods.begin(), Methods.end(), method) != Methods.end();
+}
+
+void earnRetry(retry_budget& budget)
+{
+    budget.hundredths = std::min(budget.hundredths + retry_budget::PerRequest, retry_budget::Highest);
+}
+
+bool spendRetry(retry_budget& budget)
+{
+    if (budget.hundredths < retry_budget::PerRetry)
+        return false;
+    budget.hundredths -= retry_budget::PerRetry;
+    return true;
+}
+
+void noteDispatch(request_state& request, dispatch_outcome outcome)
+{
+    request.known = worse(request.known, verdictOf(outcome));
+    if (outcome != dispatch_outcome::Whole && !request.endpoint.empty())
+        request.avoid.push_back(request.endpoint);
+}
+
+bool mayRetry(const request_state& request, dispatch_outcome outcome, bool replayable, time_point now)
+{
+    constexpr std::uint32_t MostAttempts = 4;
+    if (outcome == dispatch_outcome::Whole || outcome == dispatch_outcome::CallerGone)
+        return false;
+    if (!replayable || request.attempts >= MostAttempts || now >= request.deadline)
+        return false;
+    return verdictOf(outcome) == verdict::NotRun || isIdempotent(request.method);
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/shell/admin_service.cpp
@@ -0,0 +1,163 @@
+/** @file admin_service.cpp The gRPC service of lhub-admin: read, test, execute. */
+#include "admin/command_func.h"
+#include "config/config_func.h"
+#include "shell/admin_shell.h"
+#include "shell/rpc_convert.h"
+#include <boost/asio/post.hpp>
+
+namespace lhub {
+
+namespace {
+
+    using reactor = grpc::ServerUnaryReactor;
+    using server_context = grpc::CallbackServerContext;
+
+    /** The present configuration as the store gave it. */
+    struct present_config {
+        config_state state; ///< Versions and values.
+        config_view view; ///< Parsed.
+    };
+
+    using test_step = std::function<change_command(const config_view&)>;
+
+} // namespace
+
+/** Reads the whole configuration; hands over null and the reason when the store does not answer. */
+static void readConfig(
+    admin_shell& shell, std::function<void(const present_config*, const std::string& reason)> done)
+{
+    store_request request;
+    request.operation = store_operation::Watch;
+    request.key = StorePrefix;
+    shell.store->call(request, [done = std::move(done)](store_reply reply) {
+        if (reply.result != store_result::Done) {
+            done(nullptr, reply.reason);
+            return;
+        }
+        stripPrefix(reply.objects);
+        present_config present;
+        present.state.revision = reply.revision;
+        for (const auto& item : reply.objects) {
+            mergeObject(present.state, item.key, item.object);
+            applyObject(present.view, item.key, item.object);
+        }
+        done(&present, {});
+    });
+}
+
+/** Tests and executes one change. */
+static void runChange(admin_shell& shell, const test_step& test, rpc::ChangeReply* reply, reactor* call)
+{
+    readConfig(shell, [&shell, test, reply, call](const present_config* present, const std::string& reason) {
+        if (!present) {
+            reply->set_result(rpc::CHANGE_UNKNOWN);
+            reply->set_reason("nothing written: the store did not answer: " + reason);
+            call->Finish(grpc::Status::OK);
+            return;
+        }
+        const auto command = test(present->view);
+        const auto found = present->state.objects.find(command.key);
+        const auto object = found == present->state.objects.end() ? config_object {} : found->second;
+        executeChange(*shell.store, command, object, [reply, call, key = command.key](const change_reply& result) {
+            *reply = toMessage(key, result);
+            call->Finish(grpc::Status::OK);
+        });
+    });
+}
+
+namespace {
+
+    /** One method a named change. */
+    struct admin_service final : rpc::Admin::CallbackService {
+        explicit admin_service(admin_shell& shell)
+            : shell(shell)
+        {
+        }
+
+        reactor* change(server_context* context, rpc::ChangeReply* reply, test_step test)
+        {
+            auto* call = context->DefaultReactor();
+            boost::asio::post(
+                shell.context, [this, reply, call, test = std::move(test)] { runChange(shell, test, reply, call); });
+            return call;
+        }
+
+        reactor* PutService(server_context* context, const rpc::PutServiceRequest* request,
+            rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testService(view, fromMessage(request->service()), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* PutPlace(
+            server_context* context, const rpc::PutPlaceRequest* request, rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testPlace(view, fromMessage(request->place()), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* PutEndpoint(server_context* context, const rpc::PutEndpointRequest* request,
+            rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testEndpoint(view, fromMessage(request->endpoint()), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* PutShift(
+            server_context* context, const rpc::PutShiftRequest* request, rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testShift(view, fromMessage(request->shift()), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* PutDrain(
+            server_context* context, const rpc::PutDrainRequest* request, rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testDrain(view, fromMessage(request->drain()), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* Remove(
+            server_context* context, const rpc::RemoveRequest* request, rpc::ChangeReply* reply) override
+        {
+            return change(context, reply, [request](const config_view& view) {
+                return testRemove(view, request->key(), fromMessage(request->meta()));
+            });
+        }
+
+        reactor* List(server_context* context, const rpc::ListRequest* request, rpc::ListReply* reply) override
+        {
+            auto* call = context->DefaultReactor();
+            boost::asio::post(shell.context, [this, request, reply, call] {
+                readConfig(shell, [request, reply, call](const present_config* present, const std::string& reason) {
+                    if (!present) {
+                        call->Finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "store: " + reason));
+                        return;
+                    }
+                    reply->set_revision(present->state.revision);
+                    for (const auto& [key, object] : present->state.objects) {
+                        if (!object.deleted && key.rfind(request->prefix(), 0) == 0)
+                            *reply->add_objects() = toMessage(keyed_object { key, object });
+                    }
+                    call->Finish(grpc::Status::OK);
+                });
+            });
+            return call;
+        }
+
+        admin_shell& shell; ///< The process.
+    };
+
+} // namespace
+
+std::unique_ptr<rpc::Admin::CallbackService> makeAdminService(admin_shell& shell)
+{
+    return std::make_unique<admin_service>(shell);
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/shell/entry_calls.cpp
@@ -0,0 +1,212 @@
+/** @file entry_calls.cpp Calls of lhub-entry to its peers and to its agent. */
+#include "shell/encode.h"
+#include "shell/entry_shell.h"
+
+#include <algorithm>
+
+namespace lhub {
+
+constexpr milliseconds PeerTimeout { 1000 };
+constexpr milliseconds RemoteTimeout { 1500 };
+constexpr milliseconds ReplyMargin { 200 };
+
+/** Calls a method of Peer at @p address; a refused connection is an event of its own. */
+template <typename Request, typename Reply, typename Method>
+static void callVm(entry_shell& shell, const std::string& vm, const std::string& address, Request request,
+    milliseconds timeout, Method method, std::function<void(bool, const Reply&)> done)
+{
+    auto stub = std::make_shared<rpc::Peer::Stub>(channelTo(shell.channels, address));
+    callRpc<Request, Reply>(
+        shell.context.get_executor(), std::move(request), timeout,
+        [stub, method](auto* context, auto* asked, auto* reply, auto finish) {
+            (stub->async()->*method)(context, asked, reply, std::move(finish));
+        },
+        [&shell, vm, stub, done = std::move(done)](const grpc::Status& status, const Reply& reply) {
+            if (isRefused(status) && !vm.empty())
+                feedEvent(shell, peer_refused { vm });
+            done(status.ok(), reply);
+        });
+}
+
+/** Selects a unary callback method of the asynchronous stub. */
+template <typename Request, typename Reply>
+using stub_method = void (rpc::Peer::StubInterface::async_interface::*)(
+    grpc::ClientContext*, const Request*, Reply*, std::function<void(grpc::Status)>);
+
+static void callHeartbeat(entry_shell& shell, const send_heartbeat& effect)
+{
+    rpc::HeartbeatRequest request;
+    encodeSelf(shell.state, request);
+    request.set_address(shell.settings.peer);
+    const auto sentAt = shell.clock.now();
+    const stub_method<rpc::HeartbeatRequest, rpc::HeartbeatReply> method
+        = &rpc::Peer::StubInterface::async_interface::Heartbeat;
+    callVm<rpc::HeartbeatRequest, rpc::HeartbeatReply>(shell, effect.vm, effect.address, std::move(request),
+        PeerTimeout, method, [&shell, sentAt](bool ok, const rpc::HeartbeatReply& reply) {
+            if (!ok)
+                return;
+            feedEvent(shell, heartbeat_answered { decodeSelf(reply), sentAt });
+        });
+}
+
+static rpc::AcquireRequest encodeAcquire(const entry_shell& shell, const send_acquire& effect)
+{
+    rpc::AcquireRequest request;
+    request.set_service(effect.service);
+    request.set_request_id(effect.request.requestId);
+    request.set_vm(effect.request.vm);
+    const auto left = elapsed(shell.clock.now(), effect.request.deadline);
+    request.set_deadline_ms(static_cast<std::uint32_t>(left.count()));
+    request.set_weight(effect.request.weight);
+    for (const auto& name : effect.request.avoid)
+        request.add_avoid(name);
+    request.set_source_zone(effect.request.sourceZone);
+    request.set_may_move(effect.request.mayMove);
+    return request;
+}
+
+static void callAcquire(entry_shell& shell, const send_acquire& effect)
+{
+    auto request = encodeAcquire(shell, effect);
+    const milliseconds timeout = milliseconds(request.deadline_ms()) + ReplyMargin;
+    const stub_method<rpc::AcquireRequest, rpc::AcquireReply> method
+        = &rpc::Peer::StubInterface::async_interface::Acquire;
+    callVm<rpc::AcquireRequest, rpc::AcquireReply>(shell, effect.vm, effect.address, std::move(request), timeout,
+        method,
+        [&shell, service = effect.service, vm = effect.vm, id = effect.request.callId](
+            bool ok, const rpc::AcquireReply& reply) {
+            acquire_answered event { service, vm, ok, {} };
+            event.answer = { id, static_cast<acquire_result>(reply.result()), reply.endpoint(), reply.address(),
+                reply.reservation(), reply.reason() };
+            feedEvent(shell, std::move(event));
+        });
+}
+
+static void callRelease(entry_shell& shell, const send_release& effect)
+{
+    rpc::ReleaseRequest request;
+    request.set_service(effect.release.service);
+    request.set_endpoint(effect.release.endpoint);
+    request.set_reservation(effect.release.reservation);
+    request.set_outcome(static_cast<std::uint32_t>(effect.release.ended));
+    request.set_vm(effect.release.vm);
+    request.set_endpoint_leaving(effect.release.endpointLeaving);
+    const stub_method<rpc::ReleaseRequest, rpc::ReleaseReply> method
+        = &rpc::Peer::StubInterface::async_interface::Release;
+    callVm<rpc::ReleaseRequest, rpc::ReleaseReply>(shell, effect.vm, effect.address, std::move(request), PeerTimeout,
+        method, [&shell, id = effect.release.reservation](bool ok, const rpc::ReleaseReply&) {
+            feedEvent(shell, release_answered { id, ok });
+        });
+}
+
+template <typename Rows>
+static std::vector<reservation_row> decodeRows(const Rows& rows)
+{
+    std::vector<reservation_row> result;
+    for (const auto& row : rows)
+        result.push_back({ row.id(), row.endpoint(), row.vm(), milliseconds(row.left_ms()) });
+    return result;
+}
+
+static void callTakeOver(entry_shell& shell, const send_take_over& effect)
+{
+    rpc::TakeOverRequest request;
+    request.set_service(effect.service);
+    request.set_vm(shell.state.vm);
+    const stub_method<rpc::TakeOverRequest, rpc::TakeOverReply> method
+        = &rpc::Peer::StubInterface::async_interface::TakeOver;
+    callVm<rpc::TakeOverRequest, rpc::TakeOverReply>(shell, effect.vm, effect.address, std::move(request),
+        PeerTimeout, method,
+        [&shell, service = effect.service, vm = effect.vm](bool ok, const rpc::TakeOverReply& reply) {
+            feedEvent(shell,
+                take_over_answered { service, vm, ok && reply.handed_over(), reply.epoch(),
+                    decodeRows(reply.reservations()) });
+        });
+}
+
+static void callHeld(entry_shell& shell, const send_held& effect)
+{
+    rpc::HeldRequest request;
+    request.set_service(effect.service);
+    const stub_method<rpc::HeldRequest, rpc::HeldReply> method = &rpc::Peer::StubInterface::async_interface::Held;
+    callVm<rpc::HeldRequest, rpc::HeldReply>(shell, effect.vm, effect.address, std::move(request), PeerTimeout,
+        method, [&shell, service = effect.service, vm = effect.vm](bool ok, const rpc::HeldReply& reply) {
+            if (ok)
+                feedEvent(shell, held_answered { service, vm, decodeRows(reply.reservations()) });
+        });
+}
+
+static void callCredit(entry_shell& shell, const send_credit& effect)
+{
+    rpc::CreditRequest request;
+    request.set_service(effect.service);
+    request.set_source_zone(shell.state.zone);
+    request.set_wanted(effect.wanted);
+    const auto sentAt = shell.clock.now();
+    const stub_method<rpc::CreditRequest, rpc::CreditReply> method
+        = &rpc::Peer::StubInterface::async_interface::Credit;
+    callVm<rpc::CreditRequest, rpc::CreditReply>(shell, {}, effect.address, std::move(request), RemoteTimeout,
+        method,
+        [&shell, service = effect.service, zone = effect.zone, sentAt](bool ok, const rpc::CreditReply& reply) {
+            feedEvent(shell,
+                credit_answered { service, zone, ok && reply.owner(), reply.granted(),
+                    milliseconds(reply.valid_ms()), sentAt });
+        });
+}
+
+static void callClaim(entry_shell& shell, const send_claim& effect)
+{
+    auto stub = std::make_shared<rpc::Agent::Stub>(channelTo(shell.channels, shell.settings.agent));
+    rpc::ClaimRequest request;
+    request.set_service(effect.service);
+    request.set_key(effect.key);
+    request.set_request_id(effect.requestId);
+    callRpc<rpc::ClaimRequest, rpc::ClaimReply>(
+        shell.context.get_executor(), std::move(request), RemoteTimeout,
+        [stub](auto* context, auto* asked, auto* reply, auto done) {
+            stub->async()->Claim(context, asked, reply, std::move(done));
+        },
+        [&shell, stub, id = effect.id](const grpc::Status& status, const rpc::ClaimReply& reply) {
+            const auto result = status.ok() ? static_cast<claim_result>(reply.result()) : claim_result::Unknown;
+            feedEvent(shell, claim_answered { id, result, reply.version() });
+        });
+}
+
+static void callUnclaim(entry_shell& shell, const send_unclaim& effect)
+{
+    auto stub = std::make_shared<rpc::Agent::Stub>(channelTo(shell.channels, shell.settings.agent));
+    rpc::UnclaimRequest request;
+    request.set_service(effect.service);
+    request.set_key(effect.key);
+    request.set_version(effect.version);
+    callRpc<rpc::UnclaimRequest, rpc::UnclaimReply>(
+        shell.context.get_executor(), std::move(request), RemoteTimeout,
+        [stub](auto* context, auto* asked, auto* reply, auto done) {
+            stub->async()->Unclaim(context, asked, reply, std::move(done));
+        },
+        [stub](const grpc::Status&, const rpc::UnclaimReply&) {});
+}
+
+namespace {
+
+    /** Picks the call for an effect. */
+    struct call_visitor {
+        entry_shell& shell; ///< The process.
+
+        void operator()(const send_heartbeat& effect) const { callHeartbeat(shell, effect); }
+        void operator()(const send_acquire& effect) const { callAcquire(shell, effect); }
+        void operator()(const send_release& effect) const { callRelease(shell, effect); }
+        void operator()(const send_take_over& effect) const { callTakeOver(shell, effect); }
+        void operator()(const send_held& effect) const { callHeld(shell, effect); }
+        void operator()(const send_credit& effect) const { callCredit(shell, effect); }
+        void operator()(const send_claim& effect) const { callClaim(shell, effect); }
+        void operator()(const send_unclaim& effect) const { callUnclaim(shell, effect); }
+        template <typename T>
+        void operator()(const T&) const { }
+    };
+
+} // namespace
+
+void callPeer(entry_shell& shell, const entry_effect& effect) { std::visit(call_visitor { shell }, effect); }
+
+} // namespace lhub
--- /dev/null
+++ b/src/standin/store_standin.cpp
@@ -0,0 +1,164 @@
+/** @file store_standin.cpp The stand-in's protocol: ETag, If-Match, long-poll watch, faults on demand. */
+#include "standin/store_standin.h"
+
+#include "config/config_func.h"
+#include "core/json_fields.h"
+
+namespace lhub {
+
+constexpr std::string_view ObjectPrefix = "/v1/objects/";
+constexpr milliseconds WatchPoll { 5 };
+
+/** Waits without blocking the thread. */
+static asio::awaitable<void> sleepFor(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+static bool conditionHolds(const http_request& request, const config_object* present)
+{
+    const bool exists = present && !present->deleted;
+    if (request[http::field::if_none_match] == "*")
+        return !exists;
+    const std::string expected(request[http::field::if_match]);
+    return exists && expected == "\"" + std::to_string(present->version) + "\"";
+}
+
+http::status writeObject(
+    store_standin& store, const std::string& key, const config_object& next, const http_request& request)
+{
+    const auto found = store.state.objects.find(key);
+    const auto* present = found == store.state.objects.end() ? nullptr : &found->second;
+    if (!conditionHolds(request, present))
+        return http::status::precondition_failed;
+    auto& object = store.state.objects[key];
+    object = next;
+    object.version = ++store.state.revision;
+    return http::status::ok;
+}
+
+/** The present object as an answer with its version. */
+static http_response answerObject(const store_standin& store, const std::string& key, http::status status)
+{
+    const auto found = store.state.objects.find(key);
+    if (found == store.state.objects.end() || found->second.deleted) {
+        const auto missing = status == http::status::ok ? http::status::not_found : status;
+        return makeProblem(missing, "missing", "no object " + key);
+    }
+    auto response = makeAnswer(status, found->second.value);
+    response.set(http::field::etag, "\"" + std::to_string(found->second.version) + "\"");
+    return response;
+}
+
+static http_response answerRemoved(const store_standin& store)
+{
+    auto response = makeAnswer(http::status::ok, "");
+    response.set(http::field::etag, "\"" + std::to_string(store.state.revision) + "\"");
+    return response;
+}
+
+/** Objects of @p prefix changed after @p since, as the body of a watch. */
+static json::array changedObjects(const store_standin& store, const std::string& prefix, std::uint64_t since)
+{
+    json::array result;
+    for (const auto& item : objectsSince(store.state, since)) {
+        if (item.key.rfind(prefix, 0) != 0)
+            continue;
+        result.push_back({ { "key", item.key }, { "version", item.object.version },
+            { "deleted", item.object.deleted }, { "value", item.object.value } });
+    }
+    return result;
+}
+
+static asio::awaitable<http_response> answerWatch(std::shared_ptr<store_standin> store, std::string target)
+{
+    auto query = queryOf(target);
+    const auto since = std::strtoull(query["since"].c_str(), nullptr, 10);
+    milliseconds left(std::strtoll(query["wait_ms"].c_str(), nullptr, 10));
+    auto changed = changedObjects(*store, query["prefix"], since);
+    auto seen = store->state.revision;
+    while (changed.empty() && left.count() > 0 && !store->faults.down) {
+        co_await sleepFor(WatchPoll);
+        left -= WatchPoll;
+        if (store->state.revision == seen)
+            continue;
+        seen = store->state.revision;
+        changed = changedObjects(*store, query["prefix"], since);
+    }
+    if (store->faults.down)
+        co_return makeProblem(http::status::service_unavailable, "down", "the store is down");
+    const json::value body = { { "revision", seen }, { "objects", std::move(changed) } };
+    co_return makeAnswer(http::status::ok, json::serialize(body));
+}
+
+/** Reads faults from a control call, and answers with faults and counts. */
+static http_response answerControl(store_standin& store, const http_request& request)
+{
+    static const std::vector<json_field<store_faults>> Table {
+        flagField("down", &store_faults::down),
+        numberField("delay_ms", &store_faults::delayMs, 0U, 600'000U, false),
+        numberField("lose_replies", &store_faults::loseReplies, 0U, 1'000'000U, false),
+    };
+    if (request.method() == http::verb::post) {
+        const auto parsed = parseJson(request.body());
+        if (!parsed)
+            return makeProblem(http::status::bad_request, "bad control", parsed.reason);
+        const auto faults = readFields(Table, *parsed, store.faults);
+        if (!faults.empty())
+            return makeProblem(http::status::bad_request, "bad control", faults[0].field);
+    }
+    auto body = writeFields(Table, store.faults);
+    body["reads"] = store.counts.reads;
+    body["writes"] = store.counts.writes;
+    body["watches"] = store.counts.watches;
+    body["revision"] = store.state.revision;
+    return makeAnswer(http::status::ok, json::serialize(body));
+}
+
+static http_response answerWrite(store_standin& store, const std::string& key, const http_request& request)
+{
+    ++store.counts.writes;
+    const bool removal = request.method() == http::verb::delete_;
+    const config_object next { 0, removal, removal ? std::string() : request.body() };
+    const auto status = writeObject(store, key, next, request);
+    if (status == http::status::ok && removal)
+        return answerRemoved(store);
+    return answerObject(store, key, status);
+}
+
+/** One call of the store's protocol. */
+static asio::awaitable<http_response> answerStore(const std::shared_ptr<store_standin>& store, const http_request& request)
+{
+    const std::string path = pathOf(std::string_view(request.target().data(), request.target().size()));
+    if (path == "/v1/control")
+        co_return answerControl(*store, request);
+    if (store->faults.delayMs > 0)
+        co_await sleepFor(milliseconds(store->faults.delayMs));
+    if (store->faults.down)
+        co_return makeProblem(http::status::service_unavailable, "down", "the store is down");
+    if (path == "/v1/watch") {
+        ++store->counts.watches;
+        co_return co_await answerWatch(store, std::string(request.target()));
+    }
+    if (path.rfind(ObjectPrefix, 0) != 0)
+        co_return makeProblem(http::status::bad_request, "bad path", path);
+    const auto key = path.substr(ObjectPrefix.size());
+    if (request.method() == http::verb::get) {
+        ++store->counts.reads;
+        co_return answerObject(*store, key, http::status::ok);
+    }
+    auto response = answerWrite(*store, key, request);
+    if (response.result() == http::status::ok && store->faults.loseReplies > 0) {
+        --store->faults.loseReplies;
+        co_return makeProblem(http::status::gateway_timeout, "lost", "the reply of this write was lost");
+    }
+    co_return response;
+}
+
+http_handler makeStoreHandler(std::shared_ptr<store_standin> store)
+{
+    return [store](const http_request& request) { return answerStore(store, request); };
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/table/config_fields.cpp
@@ -0,0 +1,107 @@
+/** @file config_fields.cpp Tables of the fields of every configured object. */
+#include "config/config_func.h"
+
+namespace lhub {
+
+static bool isAnyText(std::string_view) { return true; }
+
+static bool isMethod(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ") == std::string_view::npos;
+}
+
+static bool isPath(std::string_view text) { return !text.empty() && text.front() == '/'; }
+
+/** Target of a drain: a name, or "SERVICE/NAME". */
+static bool isDrainTarget(std::string_view text)
+{
+    const auto slash = text.find('/');
+    if (slash == std::string_view::npos)
+        return isName(text);
+    return isName(text.substr(0, slash)) && isName(text.substr(slash + 1));
+}
+
+constexpr std::uint32_t LongestDeadlineMs = 600'000;
+constexpr std::uint32_t MostSlots = 10'000;
+constexpr std::uint32_t MostConnections = 100'000;
+constexpr std::uint32_t WholePermille = 1'000;
+constexpr std::uint32_t HighestCap = 10'000'000;
+constexpr std::uint32_t SecondsOfADay = 86'400;
+constexpr std::uint64_t AnyNumber = INT64_MAX;
+
+const std::vector<json_field<service_config>>& serviceFields()
+{
+    static const std::vector<json_field<service_config>> Table {
+        nameField("name", &service_config::name),
+        numberField("deadline_ms", &service_config::deadlineMs, 1U, LongestDeadlineMs, false),
+        listField("double_weight", &service_config::doubleWeight, isMethod, "a list of HTTP methods"),
+        checkedField("probe_path", &service_config::probePath, isPath, "a path that begins with /", false),
+    };
+    return Table;
+}
+
+const std::vector<json_field<place_config>>& placeFields()
+{
+    static const std::vector<json_field<place_config>> Table {
+        nameField("zone", &place_config::zone),
+        nameField("region", &place_config::region),
+    };
+    return Table;
+}
+
+const std::vector<json_field<endpoint_config>>& endpointFields()
+{
+    static const std::vector<json_field<endpoint_config>> Table {
+        nameField("service", &endpoint_config::service),
+        nameField("name", &endpoint_config::name),
+        nameField("zone", &endpoint_config::zone),
+        addressField("address", &endpoint_config::address),
+        numberField("slots", &endpoint_config::slots, 1U, MostSlots),
+        numberField("connections", &endpoint_config::connections, 1U, MostConnections, false),
+    };
+    return Table;
+}
+
+const std::vector<json_field<shift_config>>& shiftFields()
+{
+    static const std::vector<json_field<shift_config>> Table {
+        nameField("name", &shift_config::name),
+        nameField("service", &shift_config::service),
+        nameField("from_region", &shift_config::fromRegion),
+        nameField("to_region", &shift_config::toRegion),
+        numberField("permille", &shift_config::permille, 0U, WholePermille),
+        numberField("cap_per_second", &shift_config::capPerSecond, 0U, HighestCap),
+        enumField("status", &shift_config::status, ShiftStatusNames),
+        numberField("ramp_s", &shift_config::rampSeconds, 0U, SecondsOfADay, false),
+        listField("zones", &shift_config::zones, isName, "a list of zones"),
+    };
+    return Table;
+}
+
+const std::vector<json_field<drain_config>>& drainFields()
+{
+    static const std::vector<json_field<drain_config>> Table {
+        nameField("name", &drain_config::name),
+        enumField("kind", &drain_config::kind, DrainKindNames),
+        checkedField("target", &drain_config::target, isDrainTarget, "a name, or SERVICE/NAME for an endpoint"),
+        checkedField("planned_start", &drain_config::plannedStart, isAnyText, "a time as in RFC 3339", false),
+        numberField("expected_duration_s", &drain_config::expectedDurationSeconds, 0U, SecondsOfADay, false),
+    };
+    return Table;
+}
+
+const std::vector<json_field<vm_config>>& vmFields()
+{
+    static const std::vector<json_field<vm_config>> Table {
+        nameField("name", &vm_config::name),
+        nameField("zone", &vm_config::zone),
+        addressField("http", &vm_config::http),
+        addressField("peer", &vm_config::peer),
+        addressField("agent", &vm_config::agent),
+        numberField("incarnation", &vm_config::incarnation, std::uint64_t(0), AnyNumber),
+        flagField("leaving", &vm_config::leaving),
+    };
+    return Table;
+}
+
+} // namespace lhub
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,13 @@
+/** @file test_main.cpp Runs all tests; the seed of every random choice is fixed and printed. */
+#define CATCH_CONFIG_RUNNER
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    constexpr const char* Seed = "seed=20261204 max_success=200";
+    setenv("RC_PARAMS", Seed, 1);
+    std::cout << "RapidCheck: " << Seed << std::endl;
+    return Catch::Session().run(argc, argv);
+}
--- /dev/null
+++ b/tests/test_owner.cpp
@@ -0,0 +1,179 @@
+/** @file test_owner.cpp Ownership of pools through starts, kills, pauses, stops and lost messages. */
+#include "zone_wiring.h"
+
+#include "member/member_func.h"
+#include "pool/pool_func.h"
+#include <catch2/catch.hpp>
+
+using namespace lhub;
+
+/** Slots in use at the endpoints by what was dispatched and has not ended. */
+static std::size_t inFlight(const zone_wiring& zone)
+{
+    std::size_t count = 0;
+    for (const auto& [name, vm] : zone.vms) {
+        for (const auto& [id, request] : vm.requests)
+            count += request.phase == request_phase::Dispatching ? 1 : 0;
+    }
+    return count;
+}
+
+static std::string otherOf(const std::string& vm) { return vm == "vm1" ? "vm2" : "vm1"; }
+
+TEST_CASE("a starting zone has exactly one owner for each pool")
+{
+    auto zone = makeZone(2);
+    zone.run(seconds(4));
+    CHECK(zone.owners("s").size() == 1);
+}
+
+TEST_CASE("both VMs get slots from the one owner and never more than there are")
+{
+    auto zone = makeZone(2, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    for (int i = 0; i < 6; ++i) {
+        zone.request("vm1", "s");
+        zone.request("vm2", "s");
+    }
+    CHECK(inFlight(zone) == 6);
+}
+
+TEST_CASE("when the owner is killed, the other VM takes over at once and counts its own requests in flight")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    for (int i = 0; i < 3; ++i)
+        zone.request(other, "s");
+    REQUIRE(inFlight(zone) == 3);
+    zone.dead.insert(owner);
+    zone.probesAnswer = false;
+    zone.run(milliseconds(600));
+    REQUIRE(zone.owners("s") == std::vector<std::string> { other });
+    zone.request(other, "s");
+    CHECK(inFlight(zone) == 3);
+}
+
+TEST_CASE("slots that a dead owner gave to itself count as taken until they must have ended")
+{
+    auto zone = makeZone(1, 2);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    zone.request(owner, "s");
+    REQUIRE(zone.dispatched.size() == 1);
+    zone.dead.insert(owner);
+    zone.probesAnswer = false;
+    zone.run(milliseconds(600));
+    zone.request(other, "s");
+    CHECK(zone.dispatched.size() == 1);
+    zone.run(seconds(4));
+    zone.request(other, "s");
+    CHECK(zone.dispatched.size() == 2);
+}
+
+TEST_CASE("a paused owner does nothing when it wakes, and its waiting work goes to the new owner")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    zone.paused.insert(owner);
+    zone.run(milliseconds(1600));
+    CHECK(zone.vms.at(other).pools.at("s").role != pool_role::Owner);
+    zone.run(seconds(2));
+    CHECK(zone.vms.at(other).pools.at("s").role == pool_role::Owner);
+    zone.paused.clear();
+    const auto before = zone.dispatched.size();
+    zone.feed(owner, acquire_arrived { "s", { RemoteCallBit | 999, "late", other, zone.now + seconds(1), 1, {}, {}, false } });
+    CHECK(zone.vms.at(owner).pools.at("s").role != pool_role::Owner);
+    CHECK(zone.dispatched.size() == before);
+    REQUIRE(zone.stray.size() == 1);
+    CHECK(zone.stray[0].result == acquire_result::NotOwner);
+    zone.run(seconds(6));
+    CHECK(zone.owners("s").size() == 1);
+}
+
+TEST_CASE("an owner that its peer cannot have heard stops admitting before the peer takes over")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    zone.cut.insert({ "vm1", "vm2" });
+    zone.run(milliseconds(1700));
+    CHECK_FALSE(mayAdmit(zone.vms.at(owner).members));
+    const auto& limits = zone.vms.at(owner).members.limits;
+    CHECK(limits.leaseTime < limits.suspectAfter);
+}
+
+TEST_CASE("a stopping owner hands its pools over with the reservations, then stops")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    const auto id = zone.request(owner, "s");
+    zone.feed(owner, stop_asked {});
+    zone.run(seconds(1));
+    REQUIRE(zone.owners("s") == std::vector<std::string> { other });
+    CHECK(zone.vms.at(other).pools.at("s").endpoints.at("a-1").inflight == 1);
+    zone.run(seconds(10));
+    CHECK_FALSE(zone.vms.at(owner).stopped);
+    zone.end(owner, id, dispatch_outcome::Whole);
+    zone.run(seconds(1));
+    CHECK(zone.vms.at(owner).stopped);
+    CHECK(zone.vms.at(other).pools.at("s").endpoints.at("a-1").inflight == 0);
+    CHECK(zone.answered.empty());
+}
+
+TEST_CASE("a hand-over whose answer is lost leaves one owner and no slot counted twice")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    zone.request(other, "s");
+    zone.loseReplies.insert(owner);
+    zone.feed(owner, stop_asked {});
+    zone.run(milliseconds(800));
+    zone.loseReplies.clear();
+    zone.run(milliseconds(700));
+    REQUIRE(zone.owners("s") == std::vector<std::string> { other });
+    CHECK(zone.vms.at(other).pools.at("s").endpoints.at("a-1").inflight == 1);
+}
+
+TEST_CASE("an acquire whose answer is lost costs its slot only until the reservation lapses")
+{
+    auto zone = makeZone(1, 1);
+    zone.run(seconds(5));
+    const auto owner = zone.owners("s").at(0);
+    zone.loseReplies.insert(owner);
+    zone.request(otherOf(owner), "s");
+    zone.loseReplies.clear();
+    CHECK(zone.vms.at(owner).pools.at("s").endpoints.at("a-1").inflight == 1);
+    zone.run(seconds(4));
+    CHECK(zone.vms.at(owner).pools.at("s").endpoints.at("a-1").inflight == 0);
+}
+
+TEST_CASE("two owners of one pool: the later one keeps it and asks again who holds what")
+{
+    auto zone = makeZone(1, 3);
+    zone.run(seconds(5));
+    zone.warm();
+    const auto owner = zone.owners("s").at(0);
+    const auto other = otherOf(owner);
+    auto& rogue = zone.vms.at(other).pools.at("s");
+    rogue.role = pool_role::Owner;
+    rogue.epoch = zone.vms.at(owner).pools.at("s").epoch + 5;
+    zone.run(seconds(2));
+    CHECK(zone.owners("s").size() == 1);
+    CHECK(zone.vms.at(zone.owners("s").at(0)).pools.at("s").epoch > rogue.epoch - 1);
+}
--- /dev/null
+++ b/tests/test_shift.cpp
@@ -0,0 +1,134 @@
+/** @file test_shift.cpp Fractions, caps, ramps and the age of the configuration. */
+#include "shift/shift_func.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace lhub;
+
+static const time_point Start = time_point(seconds(100));
+
+static shift_config makeConfig(std::uint32_t permille, std::uint32_t cap)
+{
+    shift_config config;
+    config.name = "move";
+    config.service = "s";
+    config.fromRegion = "r";
+    config.toRegion = "q";
+    config.permille = permille;
+    config.capPerSecond = cap;
+    config.zones = { "a", "b" };
+    return config;
+}
+
+/** A shift that has been in force long enough to use its share. */
+static shift_progress makeShift(std::uint32_t permille, std::uint32_t cap)
+{
+    shift_progress shift;
+    configureShift(shift, makeConfig(permille, cap), "a", Start - seconds(100));
+    return shift;
+}
+
+/** Lets one request arrive; whether it moves. */
+static bool arrive(shift_progress& shift, time_point now, milliseconds age = milliseconds(0))
+{
+    countArrival(shift, now);
+    if (!mayMove(shift, age, now))
+        return false;
+    countMove(shift, now);
+    return true;
+}
+
+TEST_CASE("a fraction moves that part of the requests and never more")
+{
+    auto shift = makeShift(250, 1'000'000);
+    for (int i = 1; i <= 1000; ++i) {
+        arrive(shift, Start + milliseconds(i));
+        CHECK(shift.moved * 1000 <= static_cast<std::uint64_t>(i) * 250);
+    }
+    CHECK(shift.moved == 250);
+}
+
+TEST_CASE("the zones' shares together are at most the cap")
+{
+    const auto config = makeConfig(1000, 41);
+    CHECK(shareOf(config, "a") + shareOf(config, "b") == 40);
+    CHECK(shareOf(config, "c") == 0);
+}
+
+TEST_CASE("nothing moves once the store's last confirmation is too old")
+{
+    auto shift = makeShift(1000, 100);
+    CHECK(arrive(shift, Start));
+    CHECK_FALSE(arrive(shift, Start, shift.limits.freshFor));
+}
+
+TEST_CASE("a raised share waits until nobody can use an older configuration, a lowered one does not")
+{
+    auto shift = makeShift(1000, 20);
+    configureShift(shift, makeConfig(1000, 100), "a", Start);
+    int moved = 0;
+    for (int i = 0; i < 200; ++i)
+        moved += arrive(shift, Start) ? 1 : 0;
+    CHECK(moved == 10);
+    CHECK(shift.limits.settleTime > shift.limits.freshFor);
+    moved = 0;
+    for (int i = 0; i < 200; ++i)
+        moved += arrive(shift, Start + shift.limits.settleTime) ? 1 : 0;
+    CHECK(moved == 50);
+    configureShift(shift, makeConfig(1000, 4), "a", Start + seconds(20));
+    moved = 0;
+    for (int i = 0; i < 200; ++i)
+        moved += arrive(shift, Start + seconds(21)) ? 1 : 0;
+    CHECK(moved == 2);
+}
+
+TEST_CASE("paused and rolled back shifts move nothing; a new owner waits")
+{
+    auto shift = makeShift(1000, 100);
+    auto paused = makeConfig(1000, 100);
+    paused.status = shift_status::Paused;
+    configureShift(shift, paused, "a", Start);
+    CHECK_FALSE(arrive(shift, Start));
+    auto running = makeShift(1000, 100);
+    restartShift(running, Start);
+    CHECK_FALSE(arrive(running, Start + seconds(1)));
+    CHECK(arrive(running, Start + running.limits.settleTime));
+}
+
+TEST_CASE("a ramp moves less at first")
+{
+    auto shift = makeShift(1000, 1'000'000);
+    shift.config.rampSeconds = 100;
+    shift.started = Start;
+    int early = 0;
+    for (int i = 0; i < 100; ++i)
+        early += arrive(shift, Start + seconds(10)) ? 1 : 0;
+    CHECK(early == 10);
+}
+
+TEST_CASE("property: no window of a second holds more moves than the share, through changes and new owners")
+{
+    const bool held = rc::check("cap in any window", [] {
+        auto shift = makeShift(1000, 20);
+        auto now = Start;
+        std::deque<time_point> moves;
+        std::uint32_t highest = 10;
+        const auto gaps = *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 60));
+        for (const auto gap : gaps) {
+            now += milliseconds(gap);
+            if (gap == 59) {
+                shift.moved = 0;
+                restartShift(shift, now);
+            }
+            if (gap == 58)
+                configureShift(shift, makeConfig(1000, 10), "a", now);
+            if (arrive(shift, now))
+                moves.push_back(now);
+            while (!moves.empty() && now - moves.front() >= shift.limits.window)
+                moves.pop_front();
+            RC_ASSERT(moves.size() <= highest);
+        }
+    });
+    CHECK(held);
+}
