--- a/src/programs/lhub_agent.cpp
+++ b/src/programs/lhub_agent.cpp
@@ -1,5 +1,6 @@
 /** @file lhub_agent.cpp The program lhub-agent: configuration from the store to the entry process, claims, registration. */
 #include "programs/program.h"
+#include "replay/trace_func.h"
 #include "shell/agent_shell.h"
 #include "store/http_store.h"
 #include <boost/asio/signal_set.hpp>
@@ -17,7 +18,7 @@
         static_cast<std::uint64_t>(incarnation), false };
 }
 
-static int runAgent(const vm_settings& settings)
+static int runAgent(const vm_settings& settings, const std::string& recordFile)
 {
     boost::asio::io_context context(1);
     const system_clock_source clock;
@@ -27,8 +28,16 @@
         return ExitFailed;
     }
     agent_shell shell { context, clock, makeAgent(describeVm(settings), settings.seeds), std::move(*store), {}, {},
-        false, {}, 0, {} };
+        false, {}, 0, {}, nullptr };
     shell.onStopped = [&] { context.stop(); };
+    std::ofstream record;
+    if (!recordFile.empty()) {
+        record.open(recordFile);
+        writeHeader(record,
+            { TraceFormat, trace_kind::Agent, "recorded by lhub-agent", settings.vm, settings.zone, 1, 0,
+                settings.seeds, { "versions_never_fall", "ready_at_the_end" } });
+        shell.record = &record;
+    }
     const auto service = makeAgentService(shell);
     const auto server = startRpcServer(settings.agent, *service);
     if (!server) {
@@ -54,6 +63,7 @@
     CLI::App app("laburnumhub agent: brings the configuration to the entry process of its VM");
     lhub::program_arguments arguments;
     lhub::addArguments(app, arguments);
+    lhub::addRecord(app, arguments);
     CLI11_PARSE(app, argc, argv);
     const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
     if (!settings)
@@ -61,5 +71,5 @@
     if (arguments.checkOnly)
         return lhub::ExitDone;
     lhub::startLogs(argv[0]);
-    return lhub::runAgent(*settings);
+    return lhub::runAgent(*settings, arguments.recordFile);
 }
--- a/src/programs/lhub_entry.cpp
+++ b/src/programs/lhub_entry.cpp
@@ -1,6 +1,7 @@
 /** @file lhub_entry.cpp The program lhub-entry: look-ups, admission, forwarding. */
 #include "net/http_func.h"
 #include "programs/program.h"
+#include "replay/trace_func.h"
 #include "shell/entry_shell.h"
 #include "steer/steer_func.h"
 #include <boost/asio/signal_set.hpp>
@@ -18,7 +19,7 @@
     return readClientTable(input);
 }
 
-static int runEntry(const vm_settings& settings, client_table clients)
+static int runEntry(const vm_settings& settings, client_table clients, const std::string& recordFile)
 {
     asio::io_context context(1);
     const system_clock_source clock;
@@ -27,6 +28,14 @@
     entry_shell shell { context, clock, settings, makeEntry(settings.vm, settings.zone, incarnation),
         std::move(clients), {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {}, nullptr };
     shell.state.limits.lookupLifetime = seconds(settings.lookupLifetimeSeconds);
+    std::ofstream record;
+    if (!recordFile.empty()) {
+        record.open(recordFile);
+        writeHeader(record,
+            { TraceFormat, trace_kind::Entry, "recorded by lhub-entry", settings.vm, settings.zone, incarnation, 0, {},
+                RecordedEntryOutcomes });
+        shell.record = &record;
+    }
     auto acceptor = listenAt(context.get_executor(), settings.http);
     if (!acceptor) {
         LOG(ERROR) << acceptor.reason;
@@ -59,6 +68,7 @@
     CLI::App app("laburnumhub entry VM: answers look-ups and forwards requests");
     lhub::program_arguments arguments;
     lhub::addArguments(app, arguments);
+    lhub::addRecord(app, arguments);
     CLI11_PARSE(app, argc, argv);
     const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
     if (!settings)
@@ -71,5 +81,5 @@
     if (arguments.checkOnly)
         return lhub::ExitDone;
     lhub::startLogs(argv[0]);
-    return lhub::runEntry(*settings, std::move(*clients));
+    return lhub::runEntry(*settings, std::move(*clients), arguments.recordFile);
 }
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -17,6 +17,7 @@
 struct program_arguments {
     std::string settingsFile; ///< Path of the settings.
     bool checkOnly = false; ///< Validate the settings and exit.
+    std::string recordFile; ///< Where the trace goes; empty for none.
 };
 
 /** Adds the common arguments to @p app. */
@@ -27,6 +28,17 @@
     app.add_flag("--check", arguments.checkOnly, "validate the settings and exit: 0 if they are right, 2 if not");
 }
 
+/** Adds --record to a program with a reducer. */
+inline void addRecord(CLI::App& app, program_arguments& arguments)
+{
+    app.add_option("--record", arguments.recordFile, "write a trace of all events to this file, for lhub-replay");
+}
+
+/** Outcomes that every recorded trace of an entry VM states. */
+inline const std::vector<std::string> RecordedEntryOutcomes { "slots_never_exceeded", "credits_leave_the_reserve",
+    "cap_never_exceeded", "not_run_did_not_run", "unrepeatable_ran_at_most_once", "versions_never_fall",
+    "no_work_to_leaving_endpoints", "no_grant_without_lease" };
+
 /** Logs to standard error; lines are flushed at once. */
 inline void startLogs(const char* program)
 {
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -2,6 +2,7 @@
 #include "shell/agent_shell.h"
 
 #include "config/config_func.h"
+#include "replay/trace_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -93,10 +94,12 @@
         return;
     shell.draining = true;
     while (!shell.inbox.empty()) {
-        const auto next = std::move(shell.inbox.front());
+        const timed_agent_event timed { shell.clock.now(), std::move(shell.inbox.front()) };
         shell.inbox.pop_front();
+        if (shell.record)
+            writeEvent(*shell.record, timed);
         agent_effects effects;
-        reduceAgent(shell.state, shell.clock.now(), next, effects);
+        reduceAgent(shell.state, timed.now, timed.event, effects);
         for (const auto& effect : effects)
             std::visit(agent_effect_visitor { shell }, effect);
     }
--- a/src/shell/agent_shell.h
+++ b/src/shell/agent_shell.h
@@ -24,6 +24,7 @@
     std::unordered_map<std::uint64_t, std::function<void(const reply_fetch&)>> calls; ///< Open fetches, by id.
     std::uint64_t lastId = 0; ///< Of calls.
     std::function<void()> onStopped; ///< Runs when the stop is complete.
+    std::ostream* record = nullptr; ///< Where the trace goes, if it is recorded.
 };
 
 /** Reduces an event now and carries out its effects. On the thread of the context only. */
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -1,6 +1,7 @@
 /** @file entry_shell.cpp The loop of lhub-entry: event, reduce, effects. */
 #include "shell/entry_shell.h"
 
+#include "replay/trace_func.h"
 #include "steer/steer_func.h"
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
@@ -71,6 +72,8 @@
     while (!shell.inbox.empty()) {
         const timed_event timed { shell.clock.now(), std::move(shell.inbox.front()) };
         shell.inbox.pop_front();
+        if (shell.record)
+            writeEvent(*shell.record, timed);
         entry_effects effects;
         reduce(shell.state, timed, effects);
         for (const auto& effect : effects)
--- a/src/shell/latency_func.h
+++ b/src/shell/latency_func.h
@@ -1,13 +1,14 @@
 /** @file latency_func.h Counts and quantiles of latencies, by Boost.Accumulators. */
 #pragma once
 
+#include <sstream> // the quantile's header uses it without including it
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
-#include <sstream>
 
 namespace lhub {
 
--- a/src/standin/endpoint_standin.cpp
+++ b/src/standin/endpoint_standin.cpp
@@ -30,7 +30,7 @@
 }
 
 /** Runs one request in a slot. */
-static asio::awaitable<http_response> runRequest(std::shared_ptr<endpoint_standin> endpoint, const http_request& request)
+static asio::awaitable<http_response> runRequest(const std::shared_ptr<endpoint_standin>& endpoint, const http_request& request)
 {
     if (endpoint->inflight >= endpoint->slots)
         co_return answerShed(*endpoint);
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -71,7 +71,7 @@
     return result;
 }
 
-static asio::awaitable<http_response> answerWatch(std::shared_ptr<store_standin> store, std::string target)
+static asio::awaitable<http_response> answerWatch(const std::shared_ptr<store_standin>& store, std::string target)
 {
     auto query = queryOf(target);
     const auto since = std::strtoull(query["since"].c_str(), nullptr, 10);
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -35,6 +35,15 @@
     Unknown, ///< A write may have been carried out: the reply was lost.
 };
 
+/** Names of store results in traces. */
+inline constexpr std::array<name_row<store_result>, 5> StoreResultNames { {
+    { store_result::Done, "done" },
+    { store_result::Conflict, "conflict" },
+    { store_result::Missing, "missing" },
+    { store_result::Refused, "refused" },
+    { store_result::Unknown, "unknown" },
+} };
+
 /** Answer to a call. */
 struct store_reply {
     store_result result = store_result::Unknown; ///< How it ended.
--- a/tests/zone_wiring.h
+++ b/tests/zone_wiring.h
@@ -24,6 +24,8 @@
     std::uint64_t lastId = 0; ///< Of requests and calls.
     std::map<std::uint64_t, std::pair<std::string, std::string>> callers; ///< Caller and owner of open acquires.
     std::map<std::uint64_t, acquire_answered> open; ///< Answers still to come, by call.
+    bool recording = false; ///< Keep every event.
+    std::map<std::string, std::vector<timed_event>> recorded; ///< By VM, when recording.
     std::vector<acquire_answer> stray; ///< Answers to acquires that a test fed by hand.
     std::uint64_t revision = 0; ///< Of the configuration.
     bool probesAnswer = true; ///< Endpoints answer probes as idle.
@@ -79,7 +81,10 @@
         if (dead.count(vm) > 0 || paused.count(vm) > 0)
             return;
         entry_effects effects;
-        reduce(vms.at(vm), { now, std::move(event) }, effects);
+        const timed_event timed { now, std::move(event) };
+        if (recording)
+            recorded[vm].push_back(timed);
+        reduce(vms.at(vm), timed, effects);
         for (const auto& effect : effects)
             carryOut(vm, effect);
     }
