--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -17,8 +17,6 @@
 static zone_wiring makeBusyZone()
 {
     auto zone = makeZone(2);
-    zone.recording = true;
-    zone.recorded.clear();
     zone.run(seconds(4));
     for (int i = 0; i < 12; ++i) {
         const auto id = zone.request("vm1", "s", i % 3 == 0 ? "POST" : "GET");
@@ -41,8 +39,6 @@
 
 TEST_CASE("a trace that is written and read again gives the same effects")
 {
-    auto zone = makeZone(2);
-    zone.recording = true;
     const auto busy = makeBusyZone();
     const auto text = writeTrace(makeHeader({ "slots_never_exceeded" }), busy.recorded.at("vm1"));
     std::istringstream input(text);
--- a/tests/zone_wiring.h
+++ b/tests/zone_wiring.h
@@ -24,7 +24,7 @@
     std::uint64_t lastId = 0; ///< Of requests and calls.
     std::map<std::uint64_t, std::pair<std::string, std::string>> callers; ///< Caller and owner of open acquires.
     std::map<std::uint64_t, acquire_answered> open; ///< Answers still to come, by call.
-    bool recording = false; ///< Keep every event.
+    bool recording = true; ///< Keep every event.
     std::map<std::string, std::vector<timed_event>> recorded; ///< By VM, when recording.
     std::vector<acquire_answer> stray; ///< Answers to acquires that a test fed by hand.
     std::uint64_t revision = 0; ///< Of the configuration.
