Change: Idempotency keys name their home; orders run while the store is down

Cause: a claim needed the store, so 317 of 2,448 orders were refused in 5 s of outage, and a refusal as not_run told a caller that repeats a key more than is known. An entry VM now gives out key prefixes that name it and its start; it alone remembers those keys. Other keys still go to the store. A claim that cannot be settled says may_have_run.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,5 +1,6 @@
 /** @file entry.cpp The reducer: one function over all events. */
 #include "entry/entry_internal.h"
+#include "once/once_func.h"
 
 namespace lhub {
 
@@ -39,6 +40,7 @@
     maintainOwnership(state, effects);
     maintainPools(state, effects);
     retryPending(state, effects);
+    forgetOldKeys(state.keys, presentTime(state));
     finishStop(state, effects);
 }
 
@@ -77,6 +79,8 @@
         void operator()(const credit_answered& event) const { onCreditAnswer(state, event, effects); }
         void operator()(const request_arrived& event) const { onRequest(state, event, effects); }
         void operator()(const claim_answered& event) const { onClaim(state, event, effects); }
+        void operator()(const key_claim_arrived& event) const { onKeyClaim(state, event, effects); }
+        void operator()(const key_settled& event) const { onKeySettled(state, event); }
         void operator()(const dispatch_ended& event) const { onDispatchEnd(state, event, effects); }
         void operator()(const caller_left& event) const { onCallerLeft(state, event, effects); }
         void operator()(const probe_ended& event) const { onProbe(state, event, effects); }
--- a/src/entry/entry_effect.h
+++ b/src/entry/entry_effect.h
@@ -83,6 +83,27 @@
     std::string requestId; ///< Who claims.
 };
 
+/** Claim a key at its home; answered by claim_answered. */
+struct send_key_claim {
+    std::uint64_t id = 0; ///< Which request.
+    std::string address; ///< The home.
+    std::string key; ///< The key.
+    std::string requestId; ///< Who claims.
+};
+
+/** Answer a peer's claim. */
+struct reply_key_claim {
+    std::uint64_t callId = 0; ///< Names the call.
+    claim_result result = claim_result::Unknown; ///< How it ended.
+    verdict known = verdict::MayHaveRun; ///< Of the request that owns the key.
+};
+
+/** Tell a key's home how the request that owns it ended. */
+struct send_key_settled {
+    std::string address; ///< The home.
+    key_settled settled; ///< What to say.
+};
+
 /** Give a claim back: the request did not run. */
 struct send_unclaim {
     std::string service; ///< Scope of the key.
@@ -124,7 +145,8 @@
 
 /** Any effect. */
 using entry_effect = std::variant<send_heartbeat, send_acquire, reply_acquire, send_release, send_take_over,
-    reply_take_over, send_held, reply_held, send_credit, reply_credit, send_claim, send_unclaim, dispatch,
+    reply_take_over, send_held, reply_held, send_credit, reply_credit, send_claim, send_unclaim, send_key_claim,
+    reply_key_claim, send_key_settled, dispatch,
     answer_caller, send_probe, log_change, stop_done>;
 
 /** What one event brings about. */
--- a/src/entry/entry_event.h
+++ b/src/entry/entry_event.h
@@ -144,7 +144,22 @@
 struct claim_answered {
     std::uint64_t id = 0; ///< Which request.
     claim_result result = claim_result::Unknown; ///< How it ended.
-    std::uint64_t version = 0; ///< Version of the claim.
+    std::uint64_t version = 0; ///< Version of the claim in the store; 0 for a claim at a home.
+    verdict known = verdict::MayHaveRun; ///< Of the request that owns the key, when repeated.
+};
+
+/** A peer claims a key whose home this VM is. */
+struct key_claim_arrived {
+    std::uint64_t callId = 0; ///< Names the answer.
+    std::string key; ///< The key.
+    std::string requestId; ///< Who claims.
+};
+
+/** A peer says how the request that owns a key ended. */
+struct key_settled {
+    std::string key; ///< The key.
+    std::string requestId; ///< Who owns it.
+    verdict known = verdict::MayHaveRun; ///< What is known of the request.
 };
 
 /** A dispatch ended. */
@@ -175,7 +190,7 @@
 /** Any event. */
 using entry_event = std::variant<tick, config_arrived, heartbeat_arrived, heartbeat_answered, peer_refused,
     acquire_arrived, acquire_answered, release_arrived, release_answered, take_over_arrived, take_over_answered,
-    held_arrived, held_answered, credit_arrived, credit_answered, request_arrived, claim_answered, dispatch_ended,
+    held_arrived, held_answered, credit_arrived, credit_answered, request_arrived, claim_answered, key_claim_arrived, key_settled, dispatch_ended,
     caller_left, probe_ended, stop_asked>;
 
 /** An event with its time. */
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -50,6 +50,14 @@
 /** Gives up all pools without a hand-over: the process was paused past its leases. */
 void lapseOwnership(entry_state& state, entry_effects& effects);
 
+// -- entry_once.cpp
+void onKeyClaim(entry_state& state, const key_claim_arrived& event, entry_effects& effects);
+void onKeySettled(entry_state& state, const key_settled& event);
+/** Claims the request's key: at its home, or in the store. */
+void claimKey(entry_state& state, request_state& request, entry_effects& effects);
+/** The request has ended: its claim is settled or given back. */
+void settleKey(entry_state& state, const request_state& request, verdict known, entry_effects& effects);
+
 // -- entry_request.cpp
 void onRequest(entry_state& state, const request_arrived& event, entry_effects& effects);
 void onClaim(entry_state& state, const claim_answered& event, entry_effects& effects);
--- a/src/entry/entry_pool.cpp
+++ b/src/entry/entry_pool.cpp
@@ -167,6 +167,9 @@
     const auto endpoint = pool.endpoints.find(event.endpoint);
     if (event.endpointLeaving && endpoint != pool.endpoints.end())
         endpoint->second.leaving = true;
+    const auto hop = pool.reservations.find(event.reservation);
+    if (event.ended == dispatch_outcome::Shed && hop != pool.reservations.end() && hop->second.hop)
+        pool.held[hop->second.endpoint].amount = 0; // the other zone no longer honours the credit
     releaseSlot(pool, event.reservation);
     serveOwnedPool(state, pool, effects);
 }
--- a/src/entry/entry_request.cpp
+++ b/src/entry/entry_request.cpp
@@ -19,13 +19,8 @@
     entry_state& state, const request_state& request, unsigned status, const std::string& reason, entry_effects& effects)
 {
     effects.push_back(answer_caller { request.id, status, request.known, reason });
-    if (request.known == verdict::NotRun) {
-        ++state.counters.refused;
-        if (request.claimVersion > 0)
-            effects.push_back(send_unclaim { request.service, request.key, request.claimVersion });
-    } else {
-        ++state.counters.uncertain;
-    }
+    settleKey(state, request, request.known, effects);
+    ++(request.known == verdict::NotRun ? state.counters.refused : state.counters.uncertain);
     state.requests.erase(request.id);
 }
 
@@ -115,8 +110,7 @@
         seekSlot(state, request, effects);
         return;
     }
-    request.phase = request_phase::Claiming;
-    effects.push_back(send_claim { id, request.service, request.key, request.requestId });
+    claimKey(state, request, effects);
 }
 
 void onClaim(entry_state& state, const claim_answered& event, entry_effects& effects)
@@ -126,6 +120,7 @@
         return;
     auto& request = found->second;
     if (event.result == claim_result::First) {
+        request.claimed = true;
         request.claimVersion = event.version;
         seekSlot(state, request, effects);
         return;
@@ -133,11 +128,14 @@
     auto copy = request;
     if (event.result == claim_result::Repeated) {
         ++state.counters.repeated;
-        copy.known = verdict::MayHaveRun;
+        copy.known = event.known;
         refuseRequest(state, copy, StatusConflict, "this idempotency key was used before", effects);
         return;
     }
-    refuseRequest(state, copy, StatusUnavailable, "the idempotency key could not be claimed", effects);
+    // An earlier request with the same key may have run; only its home or the store could tell.
+    copy.known = verdict::MayHaveRun;
+    refuseRequest(state, copy, StatusUnavailable, "the idempotency key could not be claimed; nothing was sent now",
+        effects);
 }
 
 /** Gives back what was granted to a request that is gone. */
@@ -248,12 +246,15 @@
     noteDispatch(request, event.ended);
     releaseReservation(state, request, event, effects);
     if (event.ended == dispatch_outcome::Whole || event.ended == dispatch_outcome::CallerGone) {
-        state.counters.whole += event.ended == dispatch_outcome::Whole ? 1 : 0;
-        state.counters.uncertain += event.ended == dispatch_outcome::Whole ? 0 : 1;
+        ++(event.ended == dispatch_outcome::Whole ? state.counters.whole : state.counters.uncertain);
+        settleKey(state, request, request.known, effects);
         state.requests.erase(found);
         return;
     }
-    if (mayRetry(request, event.ended, event.replayable, presentTime(state)) && spendRetry(state.retries)) {
+    // A hop that was shed touched no endpoint: serving it here adds no load, so it costs no budget.
+    const bool shedHop = request.hop && event.ended == dispatch_outcome::Shed;
+    const bool may = mayRetry(request, event.ended, event.replayable, presentTime(state));
+    if (may && (shedHop || spendRetry(state.retries))) {
         ++state.counters.retries;
         seekSlot(state, request, effects);
         return;
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/entry_effect.h"
+#include "once/once_type.h"
 #include "shift/shift_type.h"
 #include <memory>
 
@@ -54,6 +55,7 @@
     std::map<std::uint64_t, request_state> requests; ///< In flight, by id.
     std::map<std::uint64_t, pending_release> releases; ///< By reservation.
     std::map<std::string, std::uint32_t> creditTurn; ///< Next VM to ask, by "service/zone".
+    key_memory keys; ///< Idempotency keys whose home this VM is.
     retry_budget retries; ///< For retries.
     time_point nextHeartbeat {}; ///< When heartbeats are due.
     time_point nextProbe {}; ///< When probes are due.
--- a/src/load/load.cpp
+++ b/src/load/load.cpp
@@ -36,12 +36,19 @@
         time_point until {}; ///< Valid before this.
     };
 
+    /** A cached prefix for keys. */
+    struct cached_prefix {
+        std::string text; ///< The prefix.
+        time_point until {}; ///< Valid before this.
+    };
+
     /** One run. */
     struct load_run {
         asio::io_context& context; ///< Runs everything.
         const load_plan& plan; ///< What to do.
         std::mt19937_64 random; ///< For arrivals and clients.
         std::map<std::string, cached_lookup> cache; ///< By "service client".
+        std::map<std::string, cached_prefix> prefixes; ///< Prefix of keys, by entry VM.
         std::vector<load_result> results; ///< One a stream.
         std::uint64_t lastId = 0; ///< Of requests.
         system_clock_source clock; ///< Time.
@@ -87,7 +94,29 @@
     co_return cached.addresses;
 }
 
-static http_request makeRequest(const load_run& run, const load_stream& stream, const std::string& id)
+/**
+ * A prefix for idempotency keys from the entry VM that will be used; empty when it does not answer. It is kept no
+ * longer than the look-up that named the VM.
+ */
+static asio::awaitable<std::string> keyPrefix(load_run& run, std::string address, time_point until)
+{
+    const auto known = run.prefixes.find(address);
+    if (known != run.prefixes.end() && run.clock.now() < known->second.until)
+        co_return known->second.text;
+    const auto endpoint = parseAddress(address);
+    const auto reply = co_await httpCall(*endpoint, http_request(http::verb::get, "/v1/key", 11), LookupTimeout);
+    if (reply.result != http_result::Answered || reply.response.result() != http::status::ok)
+        co_return std::string();
+    const auto parsed = parseJson(reply.response.body());
+    const auto* prefix = parsed && parsed->is_object() ? parsed->get_object().if_contains("prefix") : nullptr;
+    if (!prefix || !prefix->is_string())
+        co_return std::string();
+    run.prefixes[address] = { std::string(prefix->get_string()), until };
+    co_return run.prefixes[address].text;
+}
+
+static http_request makeRequest(
+    const load_run& run, const load_stream& stream, const std::string& id, const std::string& key)
 {
     http_request request;
     request.version(11);
@@ -97,7 +126,7 @@
     request.set("Lhub-Deadline-Ms", std::to_string(stream.deadlineMs));
     request.keep_alive(false);
     if (!isIdempotent(stream.method))
-        request.set("Idempotency-Key", std::to_string(run.plan.seed) + "-" + id);
+        request.set("Idempotency-Key", key + std::to_string(run.plan.seed) + "-" + id);
     request.body().assign(stream.bodyBytes, 'b');
     return request;
 }
@@ -140,13 +169,18 @@
     const auto began = run.clock.now();
     const auto addresses = co_await lookUp(run, stream, result, client);
     std::string reason = "no entry VM";
+    const auto until = run.cache[stream.service + " " + client].until;
     for (const auto& address : addresses) {
+        std::string key;
+        if (!isIdempotent(stream.method))
+            key = co_await keyPrefix(run, address, until);
         const auto endpoint = parseAddress(address);
         const milliseconds timeout = milliseconds(stream.deadlineMs) + AnswerMargin;
-        const auto reply = co_await httpCall(*endpoint, makeRequest(run, stream, id), timeout);
+        const auto reply = co_await httpCall(*endpoint, makeRequest(run, stream, id, key), timeout);
         reason = reply.reason;
         if (reply.result == http_result::NotSent) {
             ++result.second;
+            run.prefixes.erase(address);
             run.cache.erase(stream.service + " " + client);
             continue;
         }
@@ -184,7 +218,7 @@
 
 std::vector<load_result> runLoad(asio::io_context& context, const load_plan& plan)
 {
-    load_run run { context, plan, std::mt19937_64(plan.seed), {}, std::vector<load_result>(plan.streams.size()), 0,
+    load_run run { context, plan, std::mt19937_64(plan.seed), {}, {}, std::vector<load_result>(plan.streams.size()), 0,
         {} };
     for (std::size_t i = 0; i < plan.streams.size(); ++i)
         asio::co_spawn(context, runStream(run, plan.streams[i], run.results[i]), asio::detached);
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -119,10 +119,13 @@
     return { request.callId, acquire_result::Shed, {}, {}, 0, std::move(reason) };
 }
 
-/** Bound of the queue. */
+/** Bound of the queue. Slots that a dead owner may have given away count: they will be free soon. */
 static std::size_t longestQueue(const pool_state& pool, time_point now)
 {
-    return std::max<std::size_t>(pool.limits.smallestQueue, std::size_t(pool.limits.queuePerSlot) * usableSlots(pool, now));
+    std::size_t slots = 0;
+    for (const auto& [name, endpoint] : pool.endpoints)
+        slots += mayServe(endpoint, now) ? endpoint.slots : 0;
+    return std::max<std::size_t>(pool.limits.smallestQueue, pool.limits.queuePerSlot * slots);
 }
 
 /** Most local requests in flight and waiting of late; what is lent to others leaves this much free. */
--- a/src/replay/codec.h
+++ b/src/replay/codec.h
@@ -43,7 +43,9 @@
 BOOST_DESCRIBE_STRUCT(credit_arrived, (), (callId, service, sourceZone, wanted))
 BOOST_DESCRIBE_STRUCT(credit_answered, (), (service, zone, owner, granted, valid, sentAt))
 BOOST_DESCRIBE_STRUCT(request_arrived, (), (request))
-BOOST_DESCRIBE_STRUCT(claim_answered, (), (id, result, version))
+BOOST_DESCRIBE_STRUCT(claim_answered, (), (id, result, version, known))
+BOOST_DESCRIBE_STRUCT(key_claim_arrived, (), (callId, key, requestId))
+BOOST_DESCRIBE_STRUCT(key_settled, (), (key, requestId, known))
 BOOST_DESCRIBE_STRUCT(dispatch_ended, (), (id, ended, replayable, endpointLeaving))
 BOOST_DESCRIBE_STRUCT(caller_left, (), (id))
 BOOST_DESCRIBE_STRUCT(probe_ended, (), (service, endpoint, answered, leaving, inflight))
@@ -82,7 +84,8 @@
     requires boost::describe::has_describe_members<T>::value
 json::value encodeValue(const T& value);
 
-template <typename T> json::value encodeValue(const std::vector<T>& values)
+template <typename T>
+json::value encodeValue(const std::vector<T>& values)
 {
     json::array result;
     for (const auto& value : values)
@@ -90,7 +93,8 @@
     return result;
 }
 
-template <typename T> json::value encodeValue(const std::map<std::string, T>& values)
+template <typename T>
+json::value encodeValue(const std::map<std::string, T>& values)
 {
     json::object result;
     for (const auto& [key, value] : values)
@@ -134,13 +138,15 @@
     requires boost::describe::has_describe_members<T>::value
 void decodeValue(const json::value& from, T& to);
 
-template <typename T> void decodeValue(const json::value& from, std::vector<T>& to)
+template <typename T>
+void decodeValue(const json::value& from, std::vector<T>& to)
 {
     for (const auto& item : from.as_array())
         decodeValue(item, to.emplace_back());
 }
 
-template <typename T> void decodeValue(const json::value& from, std::map<std::string, T>& to)
+template <typename T>
+void decodeValue(const json::value& from, std::map<std::string, T>& to)
 {
     for (const auto& item : from.as_object())
         decodeValue(item.value(), to[std::string(item.key())]);
@@ -152,7 +158,11 @@
 {
     const auto& object = from.as_object();
     boost::mp11::mp_for_each<boost::describe::describe_members<T, boost::describe::mod_public>>(
-        [&](auto member) { decodeValue(object.at(member.name), to.*member.pointer); });
+        [&](auto member) {
+            // A member that a trace lacks keeps its default, so that older traces stay readable.
+            if (const auto* value = object.if_contains(member.name))
+                decodeValue(*value, to.*member.pointer);
+        });
 }
 
 } // namespace lhub
--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -34,13 +34,15 @@
 }
 
 /** Name of an event's type as in the source. */
-template <typename T> static std::string eventName()
+template <typename T>
+static std::string eventName()
 {
     const std::string name = boost::core::demangle(typeid(T).name());
     return name.substr(name.rfind(':') + 1);
 }
 
-template <typename Event> static void writeLine(std::ostream& output, time_point now, const Event& event)
+template <typename Event>
+static void writeLine(std::ostream& output, time_point now, const Event& event)
 {
     std::visit(
         [&](const auto& each) {
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -40,7 +40,8 @@
     verdict known = verdict::NotRun; ///< What all its dispatches together say.
     std::uint32_t attempts = 0; ///< Dispatches so far.
     std::vector<std::string> avoid; ///< Endpoints and zones that failed it.
-    std::uint64_t claimVersion = 0; ///< Version of its claim in the store; 0 when it has none.
+    bool claimed = false; ///< It owns its idempotency key.
+    std::uint64_t claimVersion = 0; ///< Version of its claim in the store; 0 for a claim at a home.
     std::uint64_t reservation = 0; ///< Slot or credit it holds; 0 when none.
     std::string endpoint; ///< Where it is dispatched: an endpoint, or the zone of a hop.
     bool hop = false; ///< Dispatched to another entry VM.
--- a/src/shell/entry_calls.cpp
+++ b/src/shell/entry_calls.cpp
@@ -168,7 +168,7 @@
         },
         [&shell, stub, id = effect.id](const grpc::Status& status, const rpc::ClaimReply& reply) {
             const auto result = status.ok() ? static_cast<claim_result>(reply.result()) : claim_result::Unknown;
-            feedEvent(shell, claim_answered { id, result, reply.version() });
+            feedEvent(shell, claim_answered { id, result, reply.version(), verdict::MayHaveRun });
         });
 }
 
@@ -187,6 +187,32 @@
         [stub](const grpc::Status&, const rpc::UnclaimReply&) {});
 }
 
+static void callKeyClaim(entry_shell& shell, const send_key_claim& effect)
+{
+    rpc::ClaimKeyRequest request;
+    request.set_key(effect.key);
+    request.set_request_id(effect.requestId);
+    const stub_method<rpc::ClaimKeyRequest, rpc::ClaimKeyReply> method
+        = &rpc::Peer::StubInterface::async_interface::ClaimKey;
+    callVm<rpc::ClaimKeyRequest, rpc::ClaimKeyReply>(shell, {}, effect.address, std::move(request), RemoteTimeout,
+        method, [&shell, id = effect.id](bool ok, const rpc::ClaimKeyReply& reply) {
+            const auto result = ok ? static_cast<claim_result>(reply.result()) : claim_result::Unknown;
+            feedEvent(shell, claim_answered { id, result, 0, static_cast<verdict>(reply.verdict()) });
+        });
+}
+
+static void callKeySettled(entry_shell& shell, const send_key_settled& effect)
+{
+    rpc::SettleKeyRequest request;
+    request.set_key(effect.settled.key);
+    request.set_request_id(effect.settled.requestId);
+    request.set_verdict(static_cast<std::uint32_t>(effect.settled.known));
+    const stub_method<rpc::SettleKeyRequest, rpc::SettleKeyReply> method
+        = &rpc::Peer::StubInterface::async_interface::SettleKey;
+    callVm<rpc::SettleKeyRequest, rpc::SettleKeyReply>(shell, {}, effect.address, std::move(request), RemoteTimeout,
+        method, [](bool, const rpc::SettleKeyReply&) {});
+}
+
 namespace {
 
     /** Picks the call for an effect. */
@@ -201,6 +227,8 @@
         void operator()(const send_credit& effect) const { callCredit(shell, effect); }
         void operator()(const send_claim& effect) const { callClaim(shell, effect); }
         void operator()(const send_unclaim& effect) const { callUnclaim(shell, effect); }
+        void operator()(const send_key_claim& effect) const { callKeyClaim(shell, effect); }
+        void operator()(const send_key_settled& effect) const { callKeySettled(shell, effect); }
         template <typename T>
         void operator()(const T&) const { }
     };
--- a/src/shell/entry_http.cpp
+++ b/src/shell/entry_http.cpp
@@ -3,6 +3,7 @@
 #include "core/json_fields.h"
 #include "member/member_func.h"
 #include "net/http_func.h"
+#include "once/once_func.h"
 #include "shell/exchange_type.h"
 #include "steer/steer_func.h"
 
@@ -70,12 +71,23 @@
     return makeAnswer(http::status::ok, "{}");
 }
 
+/** A prefix for idempotency keys whose home is this VM. */
+static http_response answerKeyPrefix(const entry_shell& shell)
+{
+    const auto prefix = makeKeyPrefix(shell.state.vm, shell.state.members.incarnation, shell.clock.now());
+    const auto lifetime = shell.state.keys.lifetime / 2;
+    return makeAnswer(
+        http::status::ok, json::serialize(json::value { { "prefix", prefix }, { "lifetime_s", lifetime.count() } }));
+}
+
 /** Answers everything that is not a request for a service. */
 static http_response answerOwn(entry_shell& shell, const std::string& target, const asio::ip::address& from)
 {
     const auto path = pathOf(target);
     if (path == "/v1/steer")
         return answerLookup(shell, target, from);
+    if (path == "/v1/key")
+        return answerKeyPrefix(shell);
     if (path == "/v1/status")
         return makeAnswer(http::status::ok, statusText(shell));
     if (path == "/metrics")
--- a/src/shell/entry_service.cpp
+++ b/src/shell/entry_service.cpp
@@ -126,6 +126,27 @@
             });
         }
 
+        reactor* ClaimKey(
+            server_context* context, const rpc::ClaimKeyRequest* request, rpc::ClaimKeyReply* reply) override
+        {
+            return onContext(context, [this, request, reply](reactor* call) {
+                const auto id = keepCall<reply_key_claim>(call, [reply](const reply_key_claim& effect) {
+                    reply->set_result(static_cast<rpc::ClaimResult>(effect.result));
+                    reply->set_verdict(static_cast<std::uint32_t>(effect.known));
+                });
+                feedEvent(shell, key_claim_arrived { id, request->key(), request->request_id() });
+            });
+        }
+
+        reactor* SettleKey(server_context* context, const rpc::SettleKeyRequest* request, rpc::SettleKeyReply*) override
+        {
+            return onContext(context, [this, request](reactor* call) {
+                feedEvent(shell,
+                    key_settled { request->key(), request->request_id(), static_cast<verdict>(request->verdict()) });
+                call->Finish(grpc::Status::OK);
+            });
+        }
+
         entry_shell& shell; ///< The process.
     };
 
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -9,7 +9,7 @@
 namespace lhub {
 
 constexpr milliseconds TickEvery { 20 };
-constexpr milliseconds FetchWait { 1000 };
+constexpr milliseconds FetchWait { 500 };
 constexpr milliseconds FetchTimeout { 3000 };
 constexpr milliseconds FetchPause { 100 };
 
@@ -44,6 +44,7 @@
         void operator()(const reply_acquire& each) const { answerCall(shell, each.answer.callId, effect); }
         void operator()(const reply_take_over& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const reply_held& each) const { answerCall(shell, each.callId, effect); }
+        void operator()(const reply_key_claim& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const reply_credit& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const send_probe& each) const { probeEndpoint(shell, each); }
         void operator()(const log_change& each) const { LOG(INFO) << "vm=" << shell.state.vm << " " << each.text; }
--- a/src/table/outcomes.cpp
+++ b/src/table/outcomes.cpp
@@ -10,7 +10,8 @@
 namespace lhub {
 
 /** Calls @p each for every effect of one type. */
-template <typename T, typename F> static void forEach(const entry_effects& effects, F each)
+template <typename T, typename F>
+static void forEach(const entry_effects& effects, F each)
 {
     for (const auto& effect : effects) {
         if (const auto* found = std::get_if<T>(&effect))
--- a/tests/test_pool.cpp
+++ b/tests/test_pool.cpp
@@ -75,6 +75,23 @@
     CHECK(pool.queue.front().callId == 5);
 }
 
+TEST_CASE("a new owner that distrusts all slots lets requests wait for them")
+{
+    auto pool = makePool(4, 3);
+    distrustFreeSlots(pool, Start);
+    CHECK(usableSlots(pool, Start) == 0);
+    for (std::uint64_t id = 1; id <= 24; ++id) {
+        auto request = makeRequest(id);
+        request.mayMove = true;
+        CHECK(acquire(pool, request).empty());
+    }
+    for (int i = 0; i < 4; ++i)
+        noteProbe(pool, "e" + std::to_string(i), false, 0, Start);
+    std::vector<acquire_answer> answers;
+    servePool(pool, Start, answers);
+    CHECK(answers.size() == 12);
+}
+
 TEST_CASE("a request whose deadline passes while it waits is refused and never granted")
 {
     auto pool = makePool(1, 1);
--- /dev/null
+++ b/tests/test_region.cpp
@@ -0,0 +1,141 @@
+/** @file test_region.cpp Credits, shifts and spill-over between zones and regions. */
+#include "zone_wiring.h"
+
+#include "pool/pool_func.h"
+#include <catch2/catch.hpp>
+
+using namespace lhub;
+
+/** Zones a and b of region r and q with one VM each, six slots in a and @p slotsInB in b, all warm. */
+static zone_wiring makeRegions(std::uint32_t slotsInB)
+{
+    zone_wiring zone;
+    zone.add("vm1", "a");
+    zone.add("vm2", "b");
+    zone.configure("place/a", { { "zone", "a" }, { "region", "r" } });
+    zone.configure("place/b", { { "zone", "b" }, { "region", "q" } });
+    zone.configure("service/s", { { "name", "s" }, { "deadline_ms", 2000 } });
+    zone.addEndpoints("a", 1, 6);
+    zone.addEndpoints("b", 1, slotsInB);
+    zone.registerVms();
+    zone.run(seconds(5));
+    zone.warm();
+    return zone;
+}
+
+static void startShift(zone_wiring& zone, std::uint32_t permille, std::uint32_t cap)
+{
+    zone.configure("shift/m",
+        { { "name", "m" }, { "service", "s" }, { "from_region", "r" }, { "to_region", "q" }, { "permille", permille },
+            { "cap_per_second", cap }, { "status", "running" }, { "zones", json::array { "a" } } });
+    zone.run(seconds(7));
+}
+
+/** Sends a request every @p gap for @p time; each dispatch ends whole at once. */
+static std::size_t sendThrough(zone_wiring& zone, milliseconds time, milliseconds gap, bool confirmed = true)
+{
+    std::size_t hops = 0;
+    for (milliseconds passed { 0 }; passed < time; passed += gap) {
+        const auto before = zone.dispatched.size();
+        const auto id = zone.request("vm1", "s");
+        for (auto i = before; i < zone.dispatched.size(); ++i)
+            hops += zone.dispatched[i].second.hop ? 1 : 0;
+        zone.run(gap, confirmed);
+        zone.end("vm1", id, dispatch_outcome::Whole);
+    }
+    return hops;
+}
+
+TEST_CASE("a shift moves requests under its cap and only with credit")
+{
+    auto zone = makeRegions(10);
+    startShift(zone, 1000, 10);
+    const auto hops = sendThrough(zone, seconds(5), milliseconds(20));
+    CHECK(hops <= 50);
+    CHECK(hops >= 40);
+}
+
+TEST_CASE("without room in the other region nothing moves and nothing is refused")
+{
+    auto zone = makeRegions(1);
+    startShift(zone, 1000, 50);
+    CHECK(sendThrough(zone, seconds(3), milliseconds(20)) == 0);
+    CHECK(zone.answered.empty());
+}
+
+TEST_CASE("a shift stops while the store's confirmation is missing and goes on afterwards")
+{
+    auto zone = makeRegions(10);
+    startShift(zone, 1000, 10);
+    zone.run(seconds(6), false);
+    CHECK(sendThrough(zone, seconds(3), milliseconds(20), false) == 0);
+    CHECK(sendThrough(zone, seconds(3), milliseconds(20)) > 20);
+    CHECK(zone.answered.empty());
+}
+
+TEST_CASE("links between regions cut: nothing crosses once the credit has lapsed, both sides serve their own")
+{
+    auto zone = makeRegions(10);
+    startShift(zone, 1000, 100);
+    sendThrough(zone, seconds(1), milliseconds(20));
+    zone.cut.insert({ "vm1", "vm2" });
+    zone.run(seconds(2));
+    CHECK(sendThrough(zone, seconds(2), milliseconds(20)) == 0);
+    const auto id = zone.request("vm2", "s");
+    CHECK(zone.vms.at("vm2").requests.at(id).phase == request_phase::Dispatching);
+    CHECK(zone.answered.empty());
+}
+
+TEST_CASE("a hop that is shed is served at home, costs no retry budget and voids the credit")
+{
+    auto zone = makeRegions(10);
+    startShift(zone, 1000, 1000);
+    zone.request("vm1", "s");
+    zone.run(milliseconds(600));
+    zone.vms.at("vm1").retries.hundredths = 0;
+    const auto before = zone.dispatched.size();
+    const auto id = zone.request("vm1", "s");
+    REQUIRE(zone.dispatched.size() == before + 1);
+    REQUIRE(zone.dispatched.back().second.hop);
+    zone.end("vm1", id, dispatch_outcome::Shed);
+    REQUIRE(zone.dispatched.size() == before + 2);
+    CHECK_FALSE(zone.dispatched.back().second.hop);
+    zone.request("vm1", "s");
+    CHECK_FALSE(zone.dispatched.back().second.hop);
+    CHECK(zone.answered.empty());
+}
+
+TEST_CASE("an overloaded zone sends what it cannot serve to a region with headroom, within the credit")
+{
+    auto zone = makeRegions(10);
+    for (int i = 0; i < 40; ++i) {
+        zone.request("vm1", "s");
+        zone.run(milliseconds(20));
+    }
+    std::size_t hops = 0;
+    for (const auto& [vm, sent] : zone.dispatched)
+        hops += sent.hop ? 1 : 0;
+    CHECK(hops > 0);
+    CHECK(hops <= 9);
+    CHECK(zone.vms.at("vm1").pools.at("s").localInflight == 6);
+}
+
+TEST_CASE("a drained zone gives no slot and sends everything elsewhere")
+{
+    auto zone = makeRegions(10);
+    zone.configure("drain/d", { { "name", "d" }, { "kind", "zone" }, { "target", "a" } });
+    zone.run(seconds(1));
+    sendThrough(zone, seconds(2), milliseconds(50));
+    zone.run(seconds(1));
+    CHECK(sendThrough(zone, seconds(2), milliseconds(50)) == 40);
+    CHECK(zone.vms.at("vm1").pools.at("s").localInflight == 0);
+}
+
+TEST_CASE("a new owner lends nothing until the credits of the old one have lapsed")
+{
+    auto zone = makeRegions(10);
+    auto& pool = zone.vms.at("vm2").pools.at("s");
+    pool.lendFrom = zone.now + pool.limits.creditTime;
+    CHECK(lendCredit(pool, "a", 3, zone.now) == 0);
+    CHECK(lendCredit(pool, "a", 3, zone.now + pool.limits.creditTime) == 3);
+}
