Feature: Service-level burn, and dead VMs leave the configuration

Burn: every entry VM counts good and bad events a minute for each service against its objective; lhub-report burn sums them over the fleet, judges paired windows, tells no data from no errors, and prints text, JSON or one HTML page.

Dead VMs: cause: a VM that died without a stop stayed registered for good, so look-ups in other zones went on naming it.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -157,6 +157,7 @@
         state.entryHeard = state.present;
         state.entrySeen = true;
         state.entryLeaving = event.entryLeaving;
+        state.gone = event.gone;
     }
     state.waiting.push_back({ event.callId, event.since, state.present + event.wait });
     answerWaiting(state, effects);
@@ -192,12 +193,31 @@
     return store_request { store_operation::Put, storeKey(key), std::move(text), version, 0, milliseconds(0) };
 }
 
-/** Writes the registration when it differs and the store was reachable of late. */
+/**
+ * The delete that takes a dead VM of the zone out of the configuration; nothing when none is registered. A VM that was
+ * taken for dead by mistake registers itself again.
+ */
+static std::optional<store_request> removalWrite(const agent_state& state)
+{
+    for (const auto& name : state.gone) {
+        const auto vm = state.view.vms.find(name);
+        if (vm == state.view.vms.end() || vm->second.zone != state.self.zone || name == state.self.name)
+            continue;
+        const auto key = "vm/" + name;
+        const auto version = state.config.objects.at(key).version;
+        return store_request { store_operation::Remove, storeKey(key), {}, version, 0, milliseconds(0) };
+    }
+    return std::nullopt;
+}
+
+/** Writes the registration when it differs and the store was reachable of late; then takes out a dead VM. */
 static void maintainRegistration(agent_state& state, agent_effects& effects)
 {
     if (state.writeBusy || state.present < state.nextWrite || !state.ready || !state.storeUp)
         return;
     auto request = registrationWrite(state);
+    if (!request && !state.stopping)
+        request = removalWrite(state);
     if (!request)
         return;
     state.writeBusy = true;
--- a/src/agent/agent_type.h
+++ b/src/agent/agent_type.h
@@ -51,6 +51,7 @@
     milliseconds wait { 0 }; ///< How long it may wait.
     bool fromEntry = false; ///< The entry process of this VM asks.
     bool entryLeaving = false; ///< It is stopping.
+    std::vector<std::string> gone; ///< VMs of the zone that it has not heard from for long.
 };
 
 /** The registration's write ended. */
@@ -135,6 +136,7 @@
     time_point entryHeard {}; ///< When the entry process last asked.
     bool entrySeen = false; ///< It asked at least once.
     bool entryLeaving = false; ///< It is stopping.
+    std::vector<std::string> gone; ///< VMs of the zone to deregister.
     bool writeBusy = false; ///< A registration is on its way.
     time_point nextWrite {}; ///< No registration before this.
     bool stopping = false; ///< Asked to stop.
--- a/src/bench/bench_capacity.cpp
+++ b/src/bench/bench_capacity.cpp
@@ -56,7 +56,7 @@
         for (int i = 0; i < Changes; ++i) {
             const auto version = static_cast<std::uint64_t>(vms + i + 1);
             for (std::uint64_t call = 0; call < 4; ++call)
-                reduceAgent(*agent, now, fetch_arrived { call, version - 1, seconds(1), false, false }, effects);
+                reduceAgent(*agent, now, fetch_arrived { call, version - 1, seconds(1), false, false, {} }, effects);
             store_reply change;
             change.result = store_result::Done;
             change.revision = version;
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -14,6 +14,8 @@
     std::string name; ///< Identity.
     std::uint32_t deadlineMs = 2000; ///< Longest life of a request, in milliseconds.
     std::vector<std::string> doubleWeight; ///< HTTP methods whose requests count double.
+    std::uint32_t objectivePermille = 999; ///< Part of the requests that should be good, in thousandths.
+    std::uint32_t latencyMs = 1000; ///< An answer later than this is not good, in milliseconds.
     std::string probePath = "/healthz"; ///< Path of the health probe at endpoints.
 };
 
--- a/src/entry/entry_request.cpp
+++ b/src/entry/entry_request.cpp
@@ -1,4 +1,5 @@
 /** @file entry_request.cpp The life of a request: claim, slot, dispatch, retry, answer. */
+#include "burn/burn_func.h"
 #include "config/config_func.h"
 #include "core/hash.h"
 #include "entry/entry_internal.h"
@@ -14,12 +15,25 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusTimeout = 504;
 
+/** Counts an ended request for the service's objective. */
+static void countForObjective(entry_state& state, const request_state& request, bool whole)
+{
+    const auto service = state.view.services.find(request.service);
+    if (service == state.view.services.end() || !request.sourceZone.empty())
+        return;
+    const auto took = elapsed(request.arrived, presentTime(state));
+    const bool good = whole && took <= milliseconds(service->second.latencyMs);
+    noteEvent(state.burn[request.service], good, request.weight, presentTime(state));
+}
+
 /** Ends a request with a problem document. */
 static void refuseRequest(
     entry_state& state, const request_state& request, unsigned status, const std::string& reason, entry_effects& effects)
 {
     effects.push_back(answer_caller { request.id, status, request.known, reason });
     settleKey(state, request, request.known, effects);
+    if (status != StatusConflict)
+        countForObjective(state, request, false);
     ++(request.known == verdict::NotRun ? state.counters.refused : state.counters.uncertain);
     state.requests.erase(request.id);
 }
@@ -247,6 +261,8 @@
     releaseReservation(state, request, event, effects);
     if (event.ended == dispatch_outcome::Whole || event.ended == dispatch_outcome::CallerGone) {
         ++(event.ended == dispatch_outcome::Whole ? state.counters.whole : state.counters.uncertain);
+        if (event.ended == dispatch_outcome::Whole)
+            countForObjective(state, request, true);
         settleKey(state, request, request.known, effects);
         state.requests.erase(found);
         return;
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -1,6 +1,7 @@
 /** @file entry_type.h The whole state of an entry VM. */
 #pragma once
 
+#include "burn/burn_type.h"
 #include "entry/entry_effect.h"
 #include "once/once_type.h"
 #include "shift/shift_type.h"
@@ -56,6 +57,7 @@
     std::map<std::uint64_t, pending_release> releases; ///< By reservation.
     std::map<std::string, std::uint32_t> creditTurn; ///< Next VM to ask, by "service/zone".
     key_memory keys; ///< Idempotency keys whose home this VM is.
+    std::map<std::string, burn_series> burn; ///< Good and bad events, by service.
     retry_budget retries; ///< For retries.
     time_point nextHeartbeat {}; ///< When heartbeats are due.
     time_point nextProbe {}; ///< When probes are due.
--- a/src/member/member.cpp
+++ b/src/member/member.cpp
@@ -129,6 +129,16 @@
     return highest;
 }
 
+std::vector<std::string> longGone(const member_state& state)
+{
+    std::vector<std::string> names;
+    for (const auto& [vm, peer] : state.peers) {
+        if (!isAlive(state, peer) && elapsed(peer.heard, state.present) >= state.limits.removeAfter)
+            names.push_back(vm);
+    }
+    return names;
+}
+
 bool knowsAllPeers(const member_state& state)
 {
     return std::all_of(state.peers.begin(), state.peers.end(), [&](const auto& item) {
--- a/src/member/member_func.h
+++ b/src/member/member_func.h
@@ -46,6 +46,9 @@
 /** Highest epoch heard of for @p service. */
 std::uint64_t highestEpoch(const member_state& state, const std::string& service);
 
+/** Peers that have been silent for so long that they should be deregistered. */
+std::vector<std::string> longGone(const member_state& state);
+
 /** Whether every peer is dead or has just answered: then what they announce is the whole truth. */
 bool knowsAllPeers(const member_state& state);
 
--- a/src/programs/lhub_report.cpp
+++ b/src/programs/lhub_report.cpp
@@ -1,5 +1,6 @@
 /** @file lhub_report.cpp The program lhub-report: what the fleet does, in figures. */
 #include "programs/program.h"
+#include "report/burn_report.h"
 #include "report/report_func.h"
 
 namespace lhub {
@@ -14,6 +15,7 @@
         std::vector<std::string> entries; ///< Entry VMs, IP:port.
         std::int64_t seconds = 10; ///< How long to watch or wait.
         std::uint64_t revision = 0; ///< What to wait for.
+        std::string output = "text"; ///< "text", "json" or "html".
         std::uint64_t cap = 0; ///< Cap of the shifts that are watched.
     };
 
@@ -66,6 +68,23 @@
     co_return options.cap == 0 || highest <= options.cap ? ExitDone : ExitFailed;
 }
 
+/** Prints the report on service-level burn; 1 when something burns. */
+static asio::awaitable<int> printBurn(const report_options& options, const clock_source& clock)
+{
+    const auto report = makeReport(co_await sampleFleet(options.entries, clock));
+    if (options.output == "json")
+        std::cout << json::serialize(reportJson(report)) << "\n";
+    else
+        std::cout << (options.output == "html" ? reportHtml(report) : reportText(report));
+    for (const auto& service : report.services) {
+        for (const auto& row : service.rows) {
+            if (row.state == burn_state::Burning)
+                co_return ExitFailed;
+        }
+    }
+    co_return ExitDone;
+}
+
 static int runReport(int argc, char** argv)
 {
     using report_command = asio::awaitable<int> (*)(const report_options&, const clock_source&);
@@ -77,6 +96,10 @@
     app.add_option("--seconds", options.seconds, "how long to watch or to wait");
     app.require_subcommand(1);
     app.add_subcommand("status", "a line for each VM")->callback([&] { command = printStatus; });
+    auto* burn = app.add_subcommand("burn", "service-level burn, headroom, what is stale");
+    burn->add_option("--output", options.output, "text, json or html")
+        ->check(CLI::IsMember({ "text", "json", "html" }));
+    burn->callback([&] { command = printBurn; });
     auto* wait = app.add_subcommand("wait", "until a revision is in force everywhere");
     wait->add_option("--revision", options.revision, "revision")->required();
     wait->callback([&] { command = waitForRevision; });
--- a/src/replay/codec.h
+++ b/src/replay/codec.h
@@ -54,7 +54,7 @@
 BOOST_DESCRIBE_STRUCT(agent_tick, (), ())
 BOOST_DESCRIBE_STRUCT(store_watched, (), (reply, askedAt))
 BOOST_DESCRIBE_STRUCT(peer_fetched, (), (address, reached, revision, objects, age, askedAt))
-BOOST_DESCRIBE_STRUCT(fetch_arrived, (), (callId, since, wait, fromEntry, entryLeaving))
+BOOST_DESCRIBE_STRUCT(fetch_arrived, (), (callId, since, wait, fromEntry, entryLeaving, gone))
 BOOST_DESCRIBE_STRUCT(registration_written, (), (reply))
 BOOST_DESCRIBE_STRUCT(agent_stop_asked, (), ())
 
--- a/src/report/report.cpp
+++ b/src/report/report.cpp
@@ -41,19 +41,32 @@
     co_return sample;
 }
 
-std::uint64_t statusNumber(const vm_sample& sample, std::string_view path)
+/** The value at a path; null when absent. */
+static const json::value* findStatus(const vm_sample& sample, std::string_view path)
 {
     const json::value* at = &sample.status;
-    while (!path.empty()) {
+    while (at && !path.empty()) {
         const auto dot = path.find('.');
         const auto* object = at->if_object();
         at = object ? object->if_contains(path.substr(0, dot)) : nullptr;
-        if (!at)
-            return 0;
         path = dot == std::string_view::npos ? std::string_view() : path.substr(dot + 1);
     }
+    return at;
+}
+
+std::uint64_t statusNumber(const vm_sample& sample, std::string_view path)
+{
+    const auto* value = findStatus(sample, path);
+    boost::system::error_code error;
+    const auto number = value ? value->to_number<std::uint64_t>(error) : 0;
+    return error ? 0 : number;
+}
+
+double statusReal(const vm_sample& sample, std::string_view path)
+{
+    const auto* value = findStatus(sample, path);
     boost::system::error_code error;
-    const auto number = at->to_number<std::uint64_t>(error);
+    const auto number = value ? value->to_number<double>(error) : 0;
     return error ? 0 : number;
 }
 
--- a/src/report/report_func.h
+++ b/src/report/report_func.h
@@ -12,6 +12,9 @@
 /** A whole number in a VM's status by path, as in "counters.moved"; 0 when absent. */
 std::uint64_t statusNumber(const vm_sample& sample, std::string_view path);
 
+/** A real number in a VM's status by path; 0 when absent. */
+double statusReal(const vm_sample& sample, std::string_view path);
+
 /**
  * How much a counter of all VMs rose between two samples. A VM that restarted counts from 0; one that was not
  * reached counts nothing.
--- a/src/shell/agent_service.cpp
+++ b/src/shell/agent_service.cpp
@@ -27,7 +27,7 @@
                 };
                 feedAgent(shell,
                     fetch_arrived { id, request->since(), milliseconds(request->wait_ms()), request->from_entry(),
-                        request->entry_leaving() });
+                        request->entry_leaving(), { request->gone().begin(), request->gone().end() } });
             });
             return call;
         }
--- a/src/shell/entry_metrics.cpp
+++ b/src/shell/entry_metrics.cpp
@@ -1,4 +1,5 @@
 /** @file entry_metrics.cpp Metrics and status of lhub-entry. */
+#include "burn/burn_func.h"
 #include "core/json_fields.h"
 #include "pool/pool_func.h"
 #include "shell/entry_shell.h"
@@ -65,6 +66,26 @@
     return result;
 }
 
+/** Good and bad events of every service over every window in use. */
+static json::object describeBurn(const entry_state& state, time_point now)
+{
+    json::object result;
+    for (const auto& [name, service] : state.view.services) {
+        const auto found = state.burn.find(name);
+        const auto series = found == state.burn.end() ? burn_series {} : found->second;
+        json::object windows;
+        for (const auto& pair : BurnPairs) {
+            for (const auto window : { pair.shortWindow, pair.longWindow }) {
+                const auto sum = sumEvents(series, window, now);
+                windows[std::to_string(window.count())] = { { "good", sum.good }, { "bad", sum.bad } };
+            }
+        }
+        result[name] = { { "objective_permille", service.objectivePermille }, { "latency_ms", service.latencyMs },
+            { "windows", std::move(windows) } };
+    }
+    return result;
+}
+
 std::string statusText(const entry_shell& shell)
 {
     const auto now = shell.clock.now();
@@ -84,6 +105,7 @@
     for (const auto& [service, pool] : shell.state.pools)
         pools[service] = describePool(pool, now);
     document["pools"] = std::move(pools);
+    document["burn"] = describeBurn(shell.state, now);
     json::object latency;
     for (const auto& [service, stats] : shell.latency) {
         latency[service] = { { "count", acc::count(stats.values) }, { "p50_ms", latencyQuantile(stats, 0.5) },
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -1,6 +1,7 @@
 /** @file entry_shell.cpp The loop of lhub-entry: event, reduce, effects. */
 #include "shell/entry_shell.h"
 
+#include "member/member_func.h"
 #include "replay/trace_func.h"
 #include "steer/steer_func.h"
 #include <boost/asio/steady_timer.hpp>
@@ -132,6 +133,8 @@
     request.set_wait_ms(static_cast<std::uint32_t>(FetchWait.count()));
     request.set_from_entry(true);
     request.set_entry_leaving(shell.state.stopAsked != time_point {});
+    for (const auto& vm : longGone(shell.state.members))
+        request.add_gone(vm);
     const auto askedAt = shell.clock.now();
     callRpc<rpc::FetchRequest, rpc::FetchReply>(
         shell.context.get_executor(), std::move(request), FetchTimeout,
--- a/src/shell/rpc_convert.cpp
+++ b/src/shell/rpc_convert.cpp
@@ -11,6 +11,8 @@
     for (const auto& method : service.doubleWeight)
         message.add_double_weight(method);
     message.set_probe_path(service.probePath);
+    message.set_objective_permille(service.objectivePermille);
+    message.set_latency_ms(service.latencyMs);
     return message;
 }
 
@@ -21,6 +23,10 @@
     if (message.deadline_ms() > 0)
         service.deadlineMs = message.deadline_ms();
     service.doubleWeight = { message.double_weight().begin(), message.double_weight().end() };
+    if (message.objective_permille() > 0)
+        service.objectivePermille = message.objective_permille();
+    if (message.latency_ms() > 0)
+        service.latencyMs = message.latency_ms();
     if (!message.probe_path().empty())
         service.probePath = message.probe_path();
     return service;
--- a/src/table/config_fields.cpp
+++ b/src/table/config_fields.cpp
@@ -35,6 +35,8 @@
         nameField("name", &service_config::name),
         numberField("deadline_ms", &service_config::deadlineMs, 1U, LongestDeadlineMs, false),
         listField("double_weight", &service_config::doubleWeight, isMethod, "a list of HTTP methods"),
+        numberField("objective_permille", &service_config::objectivePermille, 1U, WholePermille - 1, false),
+        numberField("latency_ms", &service_config::latencyMs, 1U, LongestDeadlineMs, false),
         checkedField("probe_path", &service_config::probePath, isPath, "a path that begins with /", false),
     };
     return Table;
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -90,7 +90,7 @@
 static config_view makeView()
 {
     config_view view;
-    view.services["s"] = { "s", 2000, {}, "/healthz" };
+    view.services["s"].name = "s";
     view.places["a"] = { "a", "r" };
     view.places["b"] = { "b", "r" };
     view.places["c"] = { "c", "q" };
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -91,7 +91,7 @@
     agent_effects effects;
     reduceAgent(agent, Start, store_watched { makeWatch(5, { { "place/a", makePlace(5, "r") } }), Start }, effects);
     effects.clear();
-    reduceAgent(agent, Start, fetch_arrived { 1, 5, seconds(1), false, false }, effects);
+    reduceAgent(agent, Start, fetch_arrived { 1, 5, seconds(1), false, false, {} }, effects);
     CHECK(effectsOf<reply_fetch>(effects).empty());
     reduceAgent(agent, Start + milliseconds(10), store_watched { makeWatch(6, { { "place/a", makePlace(6, "q") } }), Start },
         effects);
@@ -174,3 +174,37 @@
         reduceAgent(agent, Start + seconds(i), peer_fetched { "x", false, 0, {}, {}, Start }, effects);
     CHECK(sourceOf(agent) == agent_source::Store);
 }
+
+TEST_CASE("a dead VM of the zone is deregistered, a VM of another zone and this one are not")
+{
+    auto agent = makeTestAgent("vm1");
+    std::vector<keyed_object> objects;
+    std::uint64_t version = 0;
+    for (const auto& [vm, zone] : std::map<std::string, std::string> { { "vm1", "a" }, { "vm2", "a" }, { "vm9", "b" } }) {
+        const json::object spec { { "name", vm }, { "zone", zone }, { "http", "127.0.0.1:80" },
+            { "peer", "127.0.0.1:81" }, { "agent", "127.0.0.1:82" }, { "incarnation", 1 }, { "leaving", false } };
+        objects.push_back({ "vm/" + vm, { ++version, false, json::serialize(json::object { { "spec", spec } }) } });
+    }
+    agent_effects effects;
+    reduceAgent(agent, Start, store_watched { makeWatch(3, objects), Start }, effects);
+    effects.clear();
+    reduceAgent(agent, Start, fetch_arrived { 1, 3, seconds(1), true, false, { "vm1", "vm9", "vm2" } }, effects);
+    const auto writes = effectsOf<write_registration>(effects);
+    REQUIRE(writes.size() == 1);
+    CHECK(writes[0].request.operation == store_operation::Remove);
+    CHECK(writes[0].request.key == "config/vm/vm2");
+    CHECK(writes[0].request.expected == 2);
+}
+
+TEST_CASE("a VM that was taken out by mistake registers itself again")
+{
+    auto agent = makeTestAgent("vm1");
+    agent_effects effects;
+    reduceAgent(agent, Start, store_watched { makeWatch(3, { { "vm/vm1", { 3, true, {} } } }), Start }, effects);
+    effects.clear();
+    reduceAgent(agent, Start, fetch_arrived { 1, 3, seconds(1), true, false, {} }, effects);
+    const auto writes = effectsOf<write_registration>(effects);
+    REQUIRE(writes.size() == 1);
+    CHECK(writes[0].request.operation == store_operation::Put);
+    CHECK(writes[0].request.expected == 0);
+}
