--- a/src/bench/bench_capacity.cpp
+++ b/src/bench/bench_capacity.cpp
@@ -54,7 +54,7 @@
         std::size_t wire = 0;
         const auto began = std::chrono::steady_clock::now();
         for (int i = 0; i < Changes; ++i) {
-            const auto version = static_cast<std::uint64_t>(vms + i + 1);
+            const auto version = static_cast<std::uint64_t>(vms) + static_cast<std::uint64_t>(i) + 1;
             for (std::uint64_t call = 0; call < 4; ++call)
                 reduceAgent(*agent, now, fetch_arrived { call, version - 1, seconds(1), false, false, {} }, effects);
             store_reply change;
@@ -159,7 +159,7 @@
         const auto began = std::chrono::steady_clock::now();
         for (int i = 0; i < Changes; ++i) {
             config_arrived change;
-            change.revision = static_cast<std::uint64_t>(vms + i + 1);
+            change.revision = static_cast<std::uint64_t>(vms) + static_cast<std::uint64_t>(i) + 1;
             change.objects.push_back(makeVmObject(i % vms, 138, change.revision));
             reduce(*state, { now, std::move(change) }, effects);
             const auto index = makeSteerIndex(state->view);
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -7,7 +7,9 @@
 
 namespace lhub {
 
-constexpr std::size_t MostChoices = 3;
+constexpr std::size_t ChoicesInRegion = 3; // two of the own zone where it has them, then the region's others
+constexpr std::size_t ChoicesInZone = 2;
+constexpr std::size_t MostChoices = 4; // the last one lies in another region, for the loss of a whole one
 
 steer_index makeSteerIndex(const config_view& view)
 {
@@ -23,23 +25,40 @@
     return index;
 }
 
-/** Adds the living VMs of one zone in their order for this client. */
+/** Adds living VMs of one zone in their order for this client, until the answer has @p most choices. */
 static void addZone(const steer_index& index, const std::string& zone, std::uint64_t clientHash,
-    const std::set<std::string>& avoid, steer_answer& answer)
+    const std::set<std::string>& avoid, std::size_t most, steer_answer& answer)
 {
     const auto found = index.byZone.find(zone);
-    if (found == index.byZone.end() || answer.choices.size() >= MostChoices)
+    if (found == index.byZone.end() || answer.choices.size() >= most)
         return;
     std::vector<rendezvous_candidate> candidates;
+    candidates.reserve(found->second.size());
     for (const auto& choice : found->second)
         candidates.push_back({ choice.vm, 1 });
     for (const auto position : rendezvousOrder(clientHash, candidates)) {
         const auto& choice = found->second[position];
-        if (answer.choices.size() < MostChoices && avoid.count(choice.vm) == 0)
+        if (answer.choices.size() < most && avoid.count(choice.vm) == 0)
             answer.choices.push_back(choice);
     }
 }
 
+/** Zones outside the client's region, in an order that spreads clients over them. */
+static std::vector<std::string> farZones(
+    const steer_index& index, const std::string& region, std::uint64_t clientHash)
+{
+    std::vector<std::string> zones;
+    std::vector<rendezvous_candidate> candidates;
+    for (const auto& [zone, vms] : index.byZone) {
+        const auto found = index.regionOf.find(zone);
+        if (found == index.regionOf.end() || found->second != region)
+            candidates.push_back({ zone, 1 });
+    }
+    for (const auto position : rendezvousOrder(clientHash, candidates))
+        zones.emplace_back(candidates[position].name);
+    return zones;
+}
+
 /** Gives the first choice half of the weight, each further one half of what is left. */
 static void setWeights(steer_answer& answer)
 {
@@ -55,22 +74,19 @@
 {
     steer_answer answer;
     answer.zone = zone;
-    addZone(index, zone, clientHash, avoid, answer);
+    addZone(index, zone, clientHash, avoid, ChoicesInZone, answer);
     const auto region = index.regionOf.find(zone);
-    if (region != index.regionOf.end()) {
-        for (const auto& near : index.zonesOf.at(region->second)) {
-            if (near != zone)
-                addZone(index, near, clientHash, avoid, answer);
+    const auto name = region == index.regionOf.end() ? std::string() : region->second;
+    const auto near = index.zonesOf.find(name);
+    if (near != index.zonesOf.end()) {
+        for (const auto& other : near->second) {
+            if (other != zone)
+                addZone(index, other, clientHash, avoid, ChoicesInRegion, answer);
         }
     }
-    for (auto far = index.byZone.begin(); far != index.byZone.end() && answer.choices.size() < MostChoices; ++far) {
-        const auto farRegion = index.regionOf.find(far->first);
-        const bool done = far->first == zone
-            || (region != index.regionOf.end() && farRegion != index.regionOf.end()
-                && farRegion->second == region->second);
-        if (!done)
-            addZone(index, far->first, clientHash, avoid, answer);
-    }
+    const auto most = answer.choices.empty() ? MostChoices : answer.choices.size() + 1;
+    for (const auto& far : farZones(index, name, clientHash))
+        addZone(index, far, clientHash, avoid, most, answer);
     setWeights(answer);
     return answer;
 }
--- a/src/steer/steer_func.h
+++ b/src/steer/steer_func.h
@@ -22,7 +22,8 @@
 steer_index makeSteerIndex(const config_view& view);
 
 /**
- * Entry VMs for a client: of its own zone first, then of its region, then of others.
+ * Entry VMs for a client: two of its own zone first, one more of its region, and one of another region for the loss
+ * of a whole region.
  * @param zone nearest zone of the client.
  * @param clientHash hash of the client's block; spreads clients over the VMs of a zone and stays with them.
  * @param avoid VMs known to be dead.
--- a/tests/test_steer.cpp
+++ b/tests/test_steer.cpp
@@ -57,10 +57,23 @@
 {
     const auto index = makeSteerIndex(makeView());
     const auto answer = steerClient(index, "a", 7, {});
-    REQUIRE(answer.choices.size() == 3);
+    REQUIRE(answer.choices.size() == 4);
     CHECK(answer.choices[0].vm.front() == 'a');
     CHECK(answer.choices[1].vm.front() == 'a');
     CHECK(answer.choices[2].vm.front() == 'b');
+    CHECK(answer.choices[3].vm.front() == 'c');
+}
+
+TEST_CASE("the last choice lies in another region, so that a caller survives the loss of its own")
+{
+    const auto view = makeView();
+    const auto index = makeSteerIndex(view);
+    for (const std::string zone : { "a", "b", "c", "nowhere" }) {
+        std::set<std::string> regions;
+        for (const auto& choice : steerClient(index, zone, 5, {}).choices)
+            regions.insert(index.regionOf.at(view.vms.at(choice.vm).zone));
+        CHECK(regions.size() == 2);
+    }
 }
 
 TEST_CASE("dead, leaving and drained VMs are in no answer")
