Change: Callers survive the loss of a region

Cause: all three choices of a look-up could lie in one region, so a client of a lost region had nowhere to go; and a VM that had no configuration yet answered 404 "no service" to callers with a cached look-up. The last choice now lies in another region, and callers are refused a connection until there is a configuration.

--- a/src/programs/lhub_entry.cpp
+++ b/src/programs/lhub_entry.cpp
@@ -26,7 +26,7 @@
     const auto incarnation = static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     entry_shell shell { context, clock, settings, makeEntry(settings.vm, settings.zone, incarnation),
-        std::move(clients), {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {}, nullptr };
+        std::move(clients), {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {}, {}, nullptr };
     shell.state.limits.lookupLifetime = seconds(settings.lookupLifetimeSeconds);
     std::ofstream record;
     if (!recordFile.empty()) {
@@ -36,29 +36,37 @@
                 RecordedEntryOutcomes });
         shell.record = &record;
     }
-    auto acceptor = listenAt(context.get_executor(), settings.http);
-    if (!acceptor) {
-        LOG(ERROR) << acceptor.reason;
-        return ExitFailed;
-    }
     const auto service = makePeerService(shell);
     const auto server = startRpcServer(settings.peer, *service);
     if (!server) {
         LOG(ERROR) << "listen at " << settings.peer << ": not possible";
         return ExitFailed;
     }
+    int code = ExitDone;
+    std::optional<tcp::acceptor> acceptor;
+    // Callers are refused until there is a configuration: they go on to their next entry VM.
+    shell.onReady = [&] {
+        auto listening = listenAt(context.get_executor(), settings.http);
+        if (!listening) {
+            LOG(ERROR) << listening.reason;
+            code = ExitFailed;
+            context.stop();
+            return;
+        }
+        acceptor = std::move(*listening);
+        asio::co_spawn(context, serveCallers(shell, *acceptor), asio::detached);
+    };
     shell.onStopped = [&] { context.stop(); };
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int) {
         if (!error)
             feedEvent(shell, stop_asked {});
     });
-    asio::co_spawn(context, serveCallers(shell, *acceptor), asio::detached);
     startEntry(shell);
     LOG(INFO) << "vm=" << settings.vm << " state=started";
     context.run();
     server->Shutdown(std::chrono::system_clock::now());
-    return ExitDone;
+    return code;
 }
 
 } // namespace lhub
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -61,8 +61,11 @@
 {
     if (shell.indexRevision == shell.state.config.revision)
         return;
+    const bool first = shell.indexRevision == 0;
     shell.indexRevision = shell.state.config.revision;
     shell.index = makeSteerIndex(shell.state.view);
+    if (first && shell.onReady)
+        shell.onReady();
 }
 
 void feedEvent(entry_shell& shell, entry_event event)
--- a/src/shell/entry_shell.h
+++ b/src/shell/entry_shell.h
@@ -44,6 +44,7 @@
     std::map<std::string, std::deque<idle_connection>> idle; ///< Idle connections, by address.
     std::map<std::string, latency_stats> latency; ///< By service.
     std::uint64_t lastId = 0; ///< Of requests and calls.
+    std::function<void()> onReady; ///< Runs once, when the first configuration has arrived.
     std::function<void()> onStopped; ///< Runs when the graceful stop is complete.
     std::ostream* record = nullptr; ///< Where the trace goes, if it is recorded.
 };
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -22,6 +22,15 @@
         if (!isVmLeaving(view, vm) && !isZoneDrained(view, vm.zone))
             index.byZone[vm.zone].push_back({ name, vm.http, 0 });
     }
+    auto regions = index.zonesOf;
+    regions[std::string()] = {}; // of clients whose zone is not known
+    for (const auto& [region, zones] : regions) {
+        for (const auto& [zone, vms] : index.byZone) {
+            const auto found = index.regionOf.find(zone);
+            if (found == index.regionOf.end() || found->second != region)
+                index.farFrom[region].push_back(zone);
+        }
+    }
     return index;
 }
 
@@ -43,20 +52,17 @@
     }
 }
 
-/** Zones outside the client's region, in an order that spreads clients over them. */
-static std::vector<std::string> farZones(
-    const steer_index& index, const std::string& region, std::uint64_t clientHash)
+/** Adds one VM of another region; clients begin at different zones. */
+static void addFar(const steer_index& index, const std::string& region, std::uint64_t clientHash,
+    const std::set<std::string>& avoid, steer_answer& answer)
 {
-    std::vector<std::string> zones;
-    std::vector<rendezvous_candidate> candidates;
-    for (const auto& [zone, vms] : index.byZone) {
-        const auto found = index.regionOf.find(zone);
-        if (found == index.regionOf.end() || found->second != region)
-            candidates.push_back({ zone, 1 });
-    }
-    for (const auto position : rendezvousOrder(clientHash, candidates))
-        zones.emplace_back(candidates[position].name);
-    return zones;
+    const auto found = index.farFrom.find(region);
+    if (found == index.farFrom.end())
+        return;
+    const auto& zones = found->second;
+    const auto most = answer.choices.empty() ? MostChoices : answer.choices.size() + 1;
+    for (std::size_t i = 0; i < zones.size() && answer.choices.size() < most; ++i)
+        addZone(index, zones[(clientHash + i) % zones.size()], clientHash, avoid, most, answer);
 }
 
 /** Gives the first choice half of the weight, each further one half of what is left. */
@@ -84,9 +90,7 @@
                 addZone(index, other, clientHash, avoid, ChoicesInRegion, answer);
         }
     }
-    const auto most = answer.choices.empty() ? MostChoices : answer.choices.size() + 1;
-    for (const auto& far : farZones(index, name, clientHash))
-        addZone(index, far, clientHash, avoid, most, answer);
+    addFar(index, name, clientHash, avoid, answer);
     setWeights(answer);
     return answer;
 }
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -48,6 +48,7 @@
 struct steer_index {
     std::map<std::string, std::vector<steer_choice>> byZone; ///< By zone, weight unset.
     std::map<std::string, std::vector<std::string>> zonesOf; ///< By region.
+    std::map<std::string, std::vector<std::string>> farFrom; ///< Zones with VMs in other regions, by region.
     std::map<std::string, std::string> regionOf; ///< By zone.
 };
 
--- a/tests/forward_rig.h
+++ b/tests/forward_rig.h
@@ -106,7 +106,7 @@
 struct forward_rig {
     asio::io_context context { 1 }; ///< Runs everything.
     system_clock_source clock; ///< Time.
-    entry_shell shell { context, clock, {}, makeEntry("vm1", "a", 1), {}, {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {},
+    entry_shell shell { context, clock, {}, makeEntry("vm1", "a", 1), {}, {}, 0, {}, {}, false, {}, {}, {}, {}, 0, {}, {},
         nullptr }; ///< The entry VM.
     std::list<scripted_endpoint> endpoints; ///< In the order of their names e1, e2, ...
     std::optional<tcp::acceptor> acceptor; ///< For callers.
