Feature: lhubctl explain, and traces built for failures

explain answers in plain sentences why a client's request would go where it goes. Six traces cover a paused owner and its peer, a lost hand-over, orders whose answers are lost, refused or repeated, a shift without headroom while the store is silent, and overload; `lhub-tests "[.traces]"` builds them again.

--- a/src/programs/lhubctl.cpp
+++ b/src/programs/lhubctl.cpp
@@ -1,5 +1,6 @@
 /** @file lhubctl.cpp The program lhubctl: the operator's command line over the administration API. */
 #include "config/config_func.h"
+#include "net/http_func.h"
 #include "net/rpc_func.h"
 #include "programs/program.h"
 #include "shell/rpc_convert.h"
@@ -287,6 +288,29 @@
     return ExitDone;
 }
 
+/** Prints why a client's request for a service would go where it goes. */
+static int printExplanation(const std::string& entry, const std::string& client, const std::string& service)
+{
+    const auto endpoint = parseAddress(entry);
+    if (!endpoint) {
+        std::cerr << "--entry: " << endpoint.reason << "\n";
+        return ExitBadSettings;
+    }
+    asio::io_context context(1);
+    http_reply reply;
+    http_request request(http::verb::get, "/v1/explain?service=" + service + "&client=" + client, 11);
+    request.keep_alive(false);
+    asio::co_spawn(context, httpCall(*endpoint, std::move(request), CallTimeout),
+        [&](const std::exception_ptr&, http_reply answer) { reply = std::move(answer); });
+    context.run();
+    if (reply.result != http_result::Answered) {
+        std::cerr << reply.reason << "\n";
+        return ExitFailed;
+    }
+    std::cout << reply.response.body();
+    return reply.response.result() == http::status::ok ? ExitDone : ExitBadSettings;
+}
+
 static void addOptions(CLI::App& app, control_options& options)
 {
     app.set_version_flag("--version", LHUB_VERSION);
@@ -331,6 +355,13 @@
     auto* back = app.add_subcommand("roll-back-shift", "a shift ends; traffic stays where it was before");
     back->add_option("name", first, "shift")->required();
     back->callback([&] { action = [&] { return setShiftStatus(client, first, shift_status::RolledBack); }; });
+    std::string entry;
+    auto* explain = app.add_subcommand("explain", "why a request goes where it goes, in plain sentences");
+    explain->add_option("--entry", entry, "an entry VM, IP:port; best one of the client's zone")->required();
+    explain->add_option("--client", first, "the client's IP")->required();
+    std::string service;
+    explain->add_option("--service", service, "the service")->required();
+    explain->callback([&] { action = [&] { return printExplanation(entry, first, service); }; });
     CLI11_PARSE(app, argc, argv);
     rpc_channels channels;
     client.stub = rpc::Admin::NewStub(channelTo(channels, client.options.admin));
--- a/src/shell/entry_http.cpp
+++ b/src/shell/entry_http.cpp
@@ -1,6 +1,7 @@
 /** @file entry_http.cpp HTTP of lhub-entry: look-ups, services, health, metrics; and probes of endpoints. */
 #include "core/hash.h"
 #include "core/json_fields.h"
+#include "explain/explain_func.h"
 #include "member/member_func.h"
 #include "net/http_func.h"
 #include "once/once_func.h"
@@ -37,28 +38,67 @@
     return json::serialize(document);
 }
 
-/** Answers a look-up. Reads the state only. */
-static http_response answerLookup(entry_shell& shell, std::string_view target, const asio::ip::address& from)
+namespace {
+
+    /** A look-up's result: an answer, or the problem to send instead. */
+    struct lookup_result {
+        steer_answer answer; ///< Empty of choices when there is a problem.
+        std::string client; ///< The client's address.
+        std::string service; ///< The service asked for.
+        std::optional<http_response> problem; ///< Why there is no answer.
+    };
+
+} // namespace
+
+/** Carries out a look-up. Reads the state only. */
+static lookup_result lookUp(const entry_shell& shell, std::string_view target, const asio::ip::address& from)
 {
     auto query = queryOf(target);
-    const auto& service = query["service"];
-    if (shell.state.view.services.count(service) == 0)
-        return makeProblem(http::status::bad_request, "no such service", "service: '" + service + "'");
+    lookup_result result { {}, query["client"], query["service"], std::nullopt };
+    if (shell.state.view.services.count(result.service) == 0) {
+        result.problem
+            = makeProblem(http::status::bad_request, "no such service", "service: '" + result.service + "'");
+        return result;
+    }
     error_code error;
-    const auto client = query["client"].empty() ? from : asio::ip::make_address(query["client"], error);
-    if (error)
-        return makeProblem(http::status::bad_request, "not an IP", "client: '" + query["client"] + "'");
+    const auto client = result.client.empty() ? from : asio::ip::make_address(result.client, error);
+    if (error) {
+        result.problem = makeProblem(http::status::bad_request, "not an IP", "client: '" + result.client + "'");
+        return result;
+    }
     const auto address = client.is_v4() ? client.to_v4().to_uint() : 0;
     const auto* zone = client.is_v4() ? zoneOfClient(shell.clients, address) : nullptr;
     const auto block = client.is_v4() ? std::to_string(address >> BlockBits) : client.to_string();
-    auto answer
+    result.client = client.to_string();
+    result.answer
         = steerClient(shell.index, zone ? *zone : shell.state.zone, stableHash(block), deadPeers(shell.state));
-    if (answer.choices.empty())
-        return makeProblem(http::status::service_unavailable, "no entry VM", "no entry VM takes callers");
-    answer.revision = shell.state.config.revision;
-    answer.lifetimeSeconds = static_cast<std::uint32_t>(shell.state.limits.lookupLifetime.count());
+    result.answer.revision = shell.state.config.revision;
+    result.answer.lifetimeSeconds = static_cast<std::uint32_t>(shell.state.limits.lookupLifetime.count());
+    if (result.answer.choices.empty())
+        result.problem = makeProblem(http::status::service_unavailable, "no entry VM", "no entry VM takes callers");
+    return result;
+}
+
+/** Answers a look-up. */
+static http_response answerLookup(entry_shell& shell, std::string_view target, const asio::ip::address& from)
+{
+    auto result = lookUp(shell, target, from);
+    if (result.problem)
+        return std::move(*result.problem);
     ++shell.state.counters.lookups;
-    return makeAnswer(http::status::ok, encodeAnswer(answer, service));
+    return makeAnswer(http::status::ok, encodeAnswer(result.answer, result.service));
+}
+
+/** Explains a look-up and what follows, a sentence a line. */
+static http_response answerExplain(const entry_shell& shell, std::string_view target, const asio::ip::address& from)
+{
+    auto result = lookUp(shell, target, from);
+    if (result.problem)
+        return std::move(*result.problem);
+    std::string text;
+    for (const auto& sentence : explainRequest(shell.state, result.answer, result.client, result.service))
+        text += sentence + "\n";
+    return makeAnswer(http::status::ok, std::move(text), "text/plain");
 }
 
 /** Ready: the configuration has arrived, and this VM is not leaving. */
@@ -86,6 +126,8 @@
     const auto path = pathOf(target);
     if (path == "/v1/steer")
         return answerLookup(shell, target, from);
+    if (path == "/v1/explain")
+        return answerExplain(shell, target, from);
     if (path == "/v1/key")
         return answerKeyPrefix(shell);
     if (path == "/v1/status")
--- /dev/null
+++ b/tests/write_traces.cpp
@@ -0,0 +1,110 @@
+/** @file write_traces.cpp Builds the traces of failures in traces/: `lhub-tests "[.traces]"`, from the root folder. */
+#include "once/once_func.h"
+#include "replay/trace_func.h"
+#include "zone_wiring.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+
+using namespace lhub;
+
+/** Writes what @p vm saw, with all invariants and @p more as stated outcomes. */
+static void writeTrace(const zone_wiring& zone, const std::string& name, const std::string& vm, const std::string& about,
+    const std::vector<std::string>& more)
+{
+    std::vector<std::string> outcomes { "slots_never_exceeded", "credits_leave_the_reserve", "cap_never_exceeded",
+        "not_run_did_not_run", "unrepeatable_ran_at_most_once", "versions_never_fall", "no_work_to_leaving_endpoints",
+        "no_grant_without_lease" };
+    outcomes.insert(outcomes.end(), more.begin(), more.end());
+    std::ofstream output("traces/" + name + ".jsonl");
+    writeHeader(output, { TraceFormat, trace_kind::Entry, about, vm, zone.vms.at(vm).zone, 1, 0, {}, outcomes });
+    for (const auto& event : zone.recorded.at(vm))
+        writeEvent(output, event);
+    REQUIRE(output.good());
+}
+
+/** Sends requests at both VMs for @p time; every dispatch ends as @p how says. */
+static void sendLoad(zone_wiring& zone, milliseconds time, dispatch_outcome how, const std::string& method = "GET")
+{
+    constexpr milliseconds Gap { 40 };
+    for (milliseconds passed { 0 }; passed < time; passed += Gap) {
+        std::vector<std::pair<std::string, std::uint64_t>> sent;
+        for (const std::string vm : { "vm1", "vm2" })
+            sent.emplace_back(vm, zone.request(vm, "s", method));
+        zone.run(Gap);
+        for (const auto& [vm, id] : sent)
+            zone.end(vm, id, how);
+    }
+}
+
+TEST_CASE("build the traces of failures", "[.traces]")
+{
+    {
+        auto zone = makeZone(2);
+        zone.run(seconds(3));
+        sendLoad(zone, seconds(1), dispatch_outcome::Whole);
+        const auto owner = zone.owners("s").at(0);
+        zone.paused.insert(owner);
+        sendLoad(zone, seconds(3), dispatch_outcome::Whole);
+        zone.paused.clear();
+        sendLoad(zone, seconds(3), dispatch_outcome::Whole);
+        writeTrace(zone, "owner-paused", owner, "a paused owner wakes and finds its pool taken over", { "pauses>=1" });
+        writeTrace(zone, "owner-paused-peer", owner == "vm1" ? "vm2" : "vm1", "the peer of a paused owner takes over",
+            { "take_overs>=1", "pauses==0" });
+    }
+    {
+        auto zone = makeZone(2);
+        zone.run(seconds(3));
+        const auto owner = zone.owners("s").at(0);
+        zone.loseReplies.insert(owner);
+        zone.feed(owner, stop_asked {});
+        sendLoad(zone, seconds(1), dispatch_outcome::Whole);
+        zone.loseReplies.clear();
+        sendLoad(zone, seconds(2), dispatch_outcome::Whole);
+        writeTrace(zone, "hand-over-lost", owner == "vm1" ? "vm2" : "vm1",
+            "an owner stops and the answer that hands its pool over is lost", { "take_overs>=1" });
+    }
+    {
+        auto zone = makeZone(2);
+        zone.run(seconds(3));
+        sendLoad(zone, seconds(1), dispatch_outcome::Lost, "POST");
+        sendLoad(zone, seconds(1), dispatch_outcome::ConnectFailed, "POST");
+        sendLoad(zone, seconds(1), dispatch_outcome::TimedOut);
+        const auto key = makeKeyPrefix("vm1", 1, zone.now) + "order";
+        for (const std::string vm : { "vm1", "vm2", "vm1" }) {
+            const auto id = zone.request(vm, "s", "POST", key);
+            zone.run(milliseconds(40));
+            zone.end(vm, id, dispatch_outcome::TimedOut);
+        }
+        writeTrace(zone, "orders-lost-refused-repeated", "vm1",
+            "answers of orders lost, connections refused, answers late, one key used three times", { "uncertain>=20" });
+    }
+    {
+        auto zone = makeZone(2);
+        zone.configure("place/b", { { "zone", "b" }, { "region", "q" } });
+        zone.configure("shift/m",
+            { { "name", "m" }, { "service", "s" }, { "from_region", "r" }, { "to_region", "q" }, { "permille", 1000 },
+                { "cap_per_second", 5 }, { "status", "running" }, { "zones", json::array { "a" } } });
+        zone.add("vm3", "b");
+        zone.configure("drain/d", { { "name", "d" }, { "kind", "endpoint" }, { "target", "s/a-2" } });
+        zone.run(seconds(8));
+        sendLoad(zone, seconds(2), dispatch_outcome::Whole);
+        zone.run(seconds(6), false);
+        sendLoad(zone, seconds(2), dispatch_outcome::Whole);
+        writeTrace(zone, "shift-without-headroom", zone.owners("s").at(0),
+            "a shift towards a region that lends nothing, an endpoint drained, the store silent for 6 s",
+            { "moved==0", "uncertain==0" });
+    }
+    {
+        auto zone = makeZone(1, 1);
+        zone.run(seconds(4));
+        for (int i = 0; i < 100; ++i) {
+            zone.request("vm1", "s");
+            zone.request("vm2", "s");
+            zone.run(milliseconds(20));
+        }
+        zone.run(seconds(3));
+        writeTrace(zone, "overload", zone.owners("s").at(0), "far more requests than slots, none of which ever ends",
+            { "refused>=50", "uncertain==0" });
+    }
+}
