Feature: Zones lend each other their unused share of a shift's cap

Cause: the cap was divided equally among a region's zones, so a zone that gets all of the traffic could use only its own part. Owners now lend what they did not need of late; a loan lapses at its holder before it lapses at the lender, and counts at the lender one window longer.

The trace check of the cap now counts loans from the messages, as strict as before: share less lent plus borrowed.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -39,6 +39,7 @@
     sendHeartbeats(state, effects);
     maintainOwnership(state, effects);
     maintainPools(state, effects);
+    maintainLoans(state, effects);
     retryPending(state, effects);
     forgetOldKeys(state.keys, presentTime(state));
     finishStop(state, effects);
@@ -77,6 +78,8 @@
         void operator()(const held_answered& event) const { onHeldAnswer(state, event, effects); }
         void operator()(const credit_arrived& event) const { onCredit(state, event, effects); }
         void operator()(const credit_answered& event) const { onCreditAnswer(state, event, effects); }
+        void operator()(const lend_arrived& event) const { onLend(state, event, effects); }
+        void operator()(const lend_answered& event) const { onLendAnswer(state, event); }
         void operator()(const request_arrived& event) const { onRequest(state, event, effects); }
         void operator()(const claim_answered& event) const { onClaim(state, event, effects); }
         void operator()(const key_claim_arrived& event) const { onKeyClaim(state, event, effects); }
--- a/src/entry/entry_effect.h
+++ b/src/entry/entry_effect.h
@@ -75,6 +75,22 @@
     milliseconds valid { 0 }; ///< Lifetime of the grant.
 };
 
+/** Ask another zone for a part of its share of a shift. */
+struct send_lend {
+    std::string address; ///< An entry VM there.
+    lend_arrived request; ///< What is asked; callId is unset.
+    std::string lender; ///< Zone that is asked.
+};
+
+/** Answer another zone's request for a loan. */
+struct reply_lend {
+    std::uint64_t callId = 0; ///< Names the call.
+    std::string shift; ///< Which shift.
+    bool owner = false; ///< Whether this VM owns the pool.
+    std::uint32_t granted = 0; ///< Moves a second.
+    milliseconds valid { 0 }; ///< Lifetime of the loan.
+};
+
 /** Claim an idempotency key through the agent. */
 struct send_claim {
     std::uint64_t id = 0; ///< Which request.
@@ -145,7 +161,7 @@
 
 /** Any effect. */
 using entry_effect = std::variant<send_heartbeat, send_acquire, reply_acquire, send_release, send_take_over,
-    reply_take_over, send_held, reply_held, send_credit, reply_credit, send_claim, send_unclaim, send_key_claim,
+    reply_take_over, send_held, reply_held, send_credit, reply_credit, send_lend, reply_lend, send_claim, send_unclaim, send_key_claim,
     reply_key_claim, send_key_settled, dispatch,
     answer_caller, send_probe, log_change, stop_done>;
 
--- a/src/entry/entry_event.h
+++ b/src/entry/entry_event.h
@@ -121,6 +121,28 @@
     time_point sentAt {}; ///< When it was asked.
 };
 
+/** Another zone asks for a part of this zone's share of a shift. */
+struct lend_arrived {
+    std::uint64_t callId = 0; ///< Names the answer.
+    std::string service; ///< The shift's service.
+    std::string shift; ///< Which shift.
+    std::string zone; ///< Who asks.
+    std::uint32_t wanted = 0; ///< Moves a second.
+    std::uint32_t capPerSecond = 0; ///< Cap that the asker has in force.
+};
+
+/** Another zone answered a request for a loan. */
+struct lend_answered {
+    std::string service; ///< The shift's service.
+    std::string shift; ///< Which shift.
+    std::string zone; ///< Who was asked.
+    bool owner = false; ///< Whether the asked VM owns the pool there.
+    std::uint32_t granted = 0; ///< Moves a second.
+    milliseconds valid { 0 }; ///< Lifetime at the lender.
+    std::uint32_t capPerSecond = 0; ///< Cap under which it was asked.
+    time_point sentAt {}; ///< When it was asked.
+};
+
 /** A caller's request arrived, or a hop of another zone. */
 struct request_arrived {
     request_state request; ///< As far as its head says; phase and verdict are at their start.
@@ -190,7 +212,7 @@
 /** Any event. */
 using entry_event = std::variant<tick, config_arrived, heartbeat_arrived, heartbeat_answered, peer_refused,
     acquire_arrived, acquire_answered, release_arrived, release_answered, take_over_arrived, take_over_answered,
-    held_arrived, held_answered, credit_arrived, credit_answered, request_arrived, claim_answered, key_claim_arrived, key_settled, dispatch_ended,
+    held_arrived, held_answered, credit_arrived, credit_answered, lend_arrived, lend_answered, request_arrived, claim_answered, key_claim_arrived, key_settled, dispatch_ended,
     caller_left, probe_ended, stop_asked>;
 
 /** An event with its time. */
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -36,6 +36,15 @@
 /** Sends probes and credit requests that are due. */
 void maintainPools(entry_state& state, entry_effects& effects);
 
+/** The entry VM of @p zone that is asked about a service: its likely owner, then the others in turn. */
+const vm_config* zoneTarget(entry_state& state, const std::string& service, const std::string& zone);
+
+// -- entry_shift.cpp
+void onLend(entry_state& state, const lend_arrived& event, entry_effects& effects);
+void onLendAnswer(entry_state& state, const lend_answered& event);
+/** Asks other zones of a shift for what they do not use of its cap. */
+void maintainLoans(entry_state& state, entry_effects& effects);
+
 // -- entry_owner.cpp
 void onTakeOver(entry_state& state, const take_over_arrived& event, entry_effects& effects);
 void onTakeOverAnswer(entry_state& state, const take_over_answered& event, entry_effects& effects);
--- a/src/entry/entry_pool.cpp
+++ b/src/entry/entry_pool.cpp
@@ -221,8 +221,7 @@
     serveOwnedPool(state, pool, effects);
 }
 
-/** The entry VM of @p zone that is asked for credit: its likely owner, then the others in turn. */
-static const vm_config* creditTarget(entry_state& state, const std::string& service, const std::string& zone)
+const vm_config* zoneTarget(entry_state& state, const std::string& service, const std::string& zone)
 {
     std::vector<rendezvous_candidate> candidates;
     for (const auto& [name, vm] : state.view.vms) {
@@ -248,7 +247,7 @@
     }
     for (auto& [zone, held] : pool.held) {
         const auto wanted = wantedCredit(pool, zone, now);
-        const auto* target = wanted ? creditTarget(state, pool.service, zone) : nullptr;
+        const auto* target = wanted ? zoneTarget(state, pool.service, zone) : nullptr;
         if (target)
             effects.push_back(send_credit { zone, target->peer, pool.service, *wanted });
     }
--- a/src/replay/outcomes.h
+++ b/src/replay/outcomes.h
@@ -7,6 +7,13 @@
 
 namespace lhub {
 
+/** A loan seen in a message. */
+struct loan_seen {
+    std::uint32_t perSecond = 0; ///< Moves a second.
+    time_point lapses {}; ///< At the lender.
+    std::string zone; ///< Who lent it.
+};
+
 /** What the checks remember of a replay. */
 struct replay_memory {
     std::map<std::uint64_t, std::string> methods; ///< Method of each request.
@@ -15,6 +22,7 @@
     std::map<std::string, std::uint64_t> versions; ///< Highest version seen of each object.
     std::deque<std::pair<time_point, std::uint64_t>> moves; ///< Moves of the last second.
     std::uint64_t moved = 0; ///< Moves so far.
+    std::vector<loan_seen> borrowed; ///< Loans that still count.
 };
 
 /** One step of a replay, as the checks see it. */
--- a/src/shell/entry_calls.cpp
+++ b/src/shell/entry_calls.cpp
@@ -154,6 +154,24 @@
         });
 }
 
+static void callLend(entry_shell& shell, const send_lend& effect)
+{
+    rpc::LendRequest request;
+    request.set_service(effect.request.service);
+    request.set_shift(effect.request.shift);
+    request.set_zone(effect.request.zone);
+    request.set_wanted(effect.request.wanted);
+    request.set_cap_per_second(effect.request.capPerSecond);
+    const auto sentAt = shell.clock.now();
+    const stub_method<rpc::LendRequest, rpc::LendReply> method = &rpc::Peer::StubInterface::async_interface::Lend;
+    callVm<rpc::LendRequest, rpc::LendReply>(shell, {}, effect.address, std::move(request), RemoteTimeout, method,
+        [&shell, asked = effect.request, lender = effect.lender, sentAt](bool ok, const rpc::LendReply& reply) {
+            feedEvent(shell,
+                lend_answered { asked.service, asked.shift, lender, ok && reply.owner(), reply.granted(),
+                    milliseconds(reply.valid_ms()), asked.capPerSecond, sentAt });
+        });
+}
+
 static void callClaim(entry_shell& shell, const send_claim& effect)
 {
     auto stub = std::make_shared<rpc::Agent::Stub>(channelTo(shell.channels, shell.settings.agent));
@@ -225,6 +243,7 @@
         void operator()(const send_take_over& effect) const { callTakeOver(shell, effect); }
         void operator()(const send_held& effect) const { callHeld(shell, effect); }
         void operator()(const send_credit& effect) const { callCredit(shell, effect); }
+        void operator()(const send_lend& effect) const { callLend(shell, effect); }
         void operator()(const send_claim& effect) const { callClaim(shell, effect); }
         void operator()(const send_unclaim& effect) const { callUnclaim(shell, effect); }
         void operator()(const send_key_claim& effect) const { callKeyClaim(shell, effect); }
--- a/src/shell/entry_service.cpp
+++ b/src/shell/entry_service.cpp
@@ -126,6 +126,20 @@
             });
         }
 
+        reactor* Lend(server_context* context, const rpc::LendRequest* request, rpc::LendReply* reply) override
+        {
+            return onContext(context, [this, request, reply](reactor* call) {
+                const auto id = keepCall<reply_lend>(call, [reply](const reply_lend& effect) {
+                    reply->set_owner(effect.owner);
+                    reply->set_granted(effect.granted);
+                    reply->set_valid_ms(static_cast<std::uint32_t>(effect.valid.count()));
+                });
+                feedEvent(shell,
+                    lend_arrived { id, request->service(), request->shift(), request->zone(), request->wanted(),
+                        request->cap_per_second() });
+            });
+        }
+
         reactor* ClaimKey(
             server_context* context, const rpc::ClaimKeyRequest* request, rpc::ClaimKeyReply* reply) override
         {
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -46,6 +46,7 @@
         void operator()(const reply_take_over& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const reply_held& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const reply_key_claim& each) const { answerCall(shell, each.callId, effect); }
+        void operator()(const reply_lend& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const reply_credit& each) const { answerCall(shell, each.callId, effect); }
         void operator()(const send_probe& each) const { probeEndpoint(shell, each); }
         void operator()(const log_change& each) const { LOG(INFO) << "vm=" << shell.state.vm << " " << each.text; }
--- a/src/shift/shift.cpp
+++ b/src/shift/shift.cpp
@@ -15,8 +15,7 @@
     return config.capPerSecond / static_cast<std::uint32_t>(config.zones.size());
 }
 
-/** The share that may be used at @p now. */
-static std::uint32_t presentShare(const shift_progress& shift, time_point now)
+std::uint32_t ownShare(const shift_progress& shift, time_point now)
 {
     return now >= shift.shareFrom ? shift.share : std::min(shift.share, shift.earlierShare);
 }
@@ -26,8 +25,9 @@
     const bool isNew = shift.config.name.empty();
     const auto share = shareOf(config, zone);
     if (isNew || share != shift.share) {
-        shift.earlierShare = isNew ? 0 : presentShare(shift, now);
+        shift.earlierShare = isNew ? 0 : ownShare(shift, now);
         shift.shareFrom = now + shift.limits.settleTime;
+        shift.borrowed.clear();
     }
     if (isNew || (shift.config.status != shift_status::Running && config.status == shift_status::Running))
         shift.started = now;
@@ -41,6 +41,8 @@
     shift.shareFrom = now + shift.limits.settleTime;
     shift.accumulated = 0;
     shift.recent.clear();
+    shift.borrowed.clear();
+    shift.lent.clear();
 }
 
 /** Fraction that is due at @p now, in thousandths: it rises with the ramp. */
@@ -70,7 +72,10 @@
         return false;
     if (age >= shift.limits.freshFor)
         return false;
-    return shift.recent.size() < presentShare(shift, now);
+    const bool allowed = shift.recent.size() < usableShare(shift, now);
+    shift.peak = std::max(shift.peak, static_cast<double>(shift.recent.size() + 1));
+    shift.held += allowed ? 0 : 1;
+    return allowed;
 }
 
 void countMove(shift_progress& shift, time_point now)
--- a/src/table/outcomes.cpp
+++ b/src/table/outcomes.cpp
@@ -58,7 +58,46 @@
     return cap;
 }
 
-/** No second holds more moves than this zone's part of the caps. */
+/** Takes note of loans, from the messages alone. */
+static void noteLoans(const replay_step& step, replay_memory& memory)
+{
+    if (const auto* borrowed = std::get_if<lend_answered>(&step.timed.event)) {
+        if (borrowed->owner && borrowed->granted > 0)
+            memory.borrowed.push_back({ borrowed->granted, borrowed->sentAt + borrowed->valid, borrowed->zone });
+    }
+    std::erase_if(memory.borrowed, [&](const loan_seen& loan) { return step.timed.now >= loan.lapses + seconds(1); });
+}
+
+/** The most that loans which still count in this second allow: of several from one zone the highest. */
+static std::uint64_t borrowedNow(const replay_memory& memory)
+{
+    std::map<std::string, std::uint64_t> highest;
+    for (const auto& loan : memory.borrowed)
+        highest[loan.zone] = std::max<std::uint64_t>(highest[loan.zone], loan.perSecond);
+    std::uint64_t total = 0;
+    for (const auto& [zone, amount] : highest)
+        total += amount;
+    return total;
+}
+
+/** What this zone has lent never exceeds its share, and what it moves beside it neither. */
+static std::uint64_t lentNow(const replay_step& step)
+{
+    std::uint64_t total = 0;
+    for (const auto& [service, shifts] : step.after.shifts) {
+        for (const auto& [name, shift] : shifts) {
+            for (const auto& [zone, loans] : shift.lent) {
+                std::uint32_t highest = 0;
+                for (const auto& loan : loans)
+                    highest = step.timed.now < loan.lapses ? std::max(highest, loan.perSecond) : highest;
+                total += highest;
+            }
+        }
+    }
+    return total;
+}
+
+/** No second holds more moves than this zone's part of the caps, less what it lent and plus what it borrowed. */
 static std::string checkCap(const replay_step& step, replay_memory& memory)
 {
     constexpr seconds Window { 1 };
@@ -71,7 +110,12 @@
     std::uint64_t inside = 0;
     for (const auto& [at, count] : memory.moves)
         inside += count;
-    const auto cap = std::max(zoneCap(step.before), zoneCap(step.after));
+    noteLoans(step, memory);
+    const auto share = std::max(zoneCap(step.before), zoneCap(step.after));
+    const auto lent = lentNow(step);
+    if (lent > share)
+        return "lent " + std::to_string(lent) + " of a share of " + std::to_string(share);
+    const auto cap = share - lent + borrowedNow(memory);
     return inside > cap ? std::to_string(inside) + " moved in a second, cap " + std::to_string(cap) : std::string();
 }
 
--- a/tests/test_region.cpp
+++ b/tests/test_region.cpp
@@ -139,3 +139,37 @@
     CHECK(lendCredit(pool, "a", 3, zone.now) == 0);
     CHECK(lendCredit(pool, "a", 3, zone.now + pool.limits.creditTime) == 3);
 }
+
+TEST_CASE("a zone that gets all of a region's traffic uses most of the cap by loans, and never more than it")
+{
+    zone_wiring zone;
+    for (const std::string name : { "a", "b", "c" })
+        zone.add("vm-" + name, name);
+    zone.configure("place/a", { { "zone", "a" }, { "region", "r" } });
+    zone.configure("place/b", { { "zone", "b" }, { "region", "r" } });
+    zone.configure("place/c", { { "zone", "c" }, { "region", "q" } });
+    zone.configure("service/s", { { "name", "s" }, { "deadline_ms", 2000 } });
+    for (const std::string name : { "a", "b", "c" })
+        zone.addEndpoints(name, 1, 40);
+    zone.registerVms();
+    zone.configure("shift/m",
+        { { "name", "m" }, { "service", "s" }, { "from_region", "r" }, { "to_region", "q" }, { "permille", 1000 },
+            { "cap_per_second", 40 }, { "status", "running" }, { "zones", json::array { "a", "b" } } });
+    zone.run(seconds(10));
+    zone.warm();
+    const auto& moved = zone.vms.at("vm-a").counters.moved;
+    const auto sendFor = [&](seconds time) {
+        const auto before = moved;
+        for (milliseconds passed { 0 }; passed < time; passed += milliseconds(10)) {
+            const auto id = zone.request("vm-a", "s");
+            if (passed.count() % 20 == 0)
+                zone.run(milliseconds(20));
+            zone.end("vm-a", id, dispatch_outcome::Whole);
+        }
+        return moved - before;
+    };
+    sendFor(seconds(5));
+    const auto steady = sendFor(seconds(10));
+    CHECK(steady <= 400);
+    CHECK(steady >= 360);
+}
--- a/tests/test_shift.cpp
+++ b/tests/test_shift.cpp
@@ -132,3 +132,72 @@
     });
     CHECK(held);
 }
+
+TEST_CASE("a lender keeps what it needed of late, and counts a loan one window longer than the borrower uses it")
+{
+    auto lender = makeShift(1000, 20);
+    lender.peak = 3;
+    CHECK(lendShare(lender, "b", 20, 20, Start) == 7);
+    CHECK(lendShare(lender, "c", 20, 20, Start) == 0);
+    CHECK(usableShare(lender, Start) == 3);
+    const auto end = Start + lender.limits.loanTime;
+    CHECK(usableShare(lender, end) == 3);
+    CHECK(usableShare(lender, end + lender.limits.window) == 10);
+}
+
+TEST_CASE("a borrower's loan lapses before the lender's, falls with a changed cap, and an older answer changes nothing")
+{
+    auto borrower = makeShift(1000, 20);
+    borrowShare(borrower, "b", { 5, Start + seconds(2) }, 20, Start);
+    CHECK(usableShare(borrower, Start + milliseconds(1790)) == 15);
+    CHECK(usableShare(borrower, Start + milliseconds(1800)) == 10);
+    borrowShare(borrower, "b", { 9, Start + seconds(1) }, 20, Start - seconds(1));
+    CHECK(usableShare(borrower, Start) == 15);
+    configureShift(borrower, makeConfig(1000, 10), "a", Start);
+    CHECK(usableShare(borrower, Start) == 5);
+    borrowShare(borrower, "b", { 9, Start + seconds(2) }, 20, Start);
+    CHECK(usableShare(borrower, Start) == 5);
+}
+
+TEST_CASE("nothing is lent by a new owner, under another cap, or by a paused shift")
+{
+    auto lender = makeShift(1000, 20);
+    CHECK(lendShare(lender, "b", 5, 30, Start) == 0);
+    restartShift(lender, Start);
+    CHECK(lendShare(lender, "b", 5, 20, Start) == 0);
+    auto paused = makeShift(1000, 20);
+    paused.config.status = shift_status::Paused;
+    CHECK(lendShare(paused, "b", 5, 20, Start) == 0);
+}
+
+TEST_CASE("property: two zones that lend each other shares never move more than the cap in any second")
+{
+    const bool held = rc::check("loans and the cap", [] {
+        std::array<shift_progress, 2> zones { makeShift(1000, 20), shift_progress {} };
+        configureShift(zones[1], makeConfig(1000, 20), "b", Start - seconds(100));
+        const std::array<std::string, 2> names { "a", "b" };
+        std::deque<time_point> moves;
+        auto now = Start;
+        const auto steps = *rc::gen::container<std::vector<int>>(600, rc::gen::inRange(0, 100));
+        for (const auto step : steps) {
+            now += milliseconds(step % 40);
+            const std::size_t zone = step % 7 < 5 ? 0 : 1;
+            if (step >= 96) {
+                const auto sentAt = now;
+                const auto granted = lendShare(zones[1 - zone], names[zone], 20, 20, now);
+                now += milliseconds(step % 3 * 60);
+                if (step != 99)
+                    borrowShare(zones[zone], names[1 - zone], { granted, sentAt + seconds(2) }, 20, sentAt);
+            }
+            if (step == 95)
+                restartShift(zones[zone], now);
+            if (arrive(zones[zone], now))
+                moves.push_back(now);
+            wantedLoan(zones[zone], now);
+            while (!moves.empty() && now - moves.front() >= seconds(1))
+                moves.pop_front();
+            RC_ASSERT(moves.size() <= 20);
+        }
+    });
+    CHECK(held);
+}
--- a/tests/zone_wiring.h
+++ b/tests/zone_wiring.h
@@ -221,6 +221,17 @@
             feed(asking,
                 credit_answered { creditAsked.service, creditAsked.zone, granted->owner, granted->granted,
                     granted->valid, now });
+        } else if (const auto* lend = std::get_if<send_lend>(&effect)) {
+            const auto to = vmAt.at(lend->address);
+            if (knock(from, to)) {
+                asking = from;
+                lendAsked = *lend;
+                feed(to, lend->request);
+            }
+        } else if (const auto* lent = std::get_if<reply_lend>(&effect)) {
+            feed(asking,
+                lend_answered { lendAsked.request.service, lent->shift, lendAsked.lender, lent->owner, lent->granted,
+                    lent->valid, lendAsked.request.capPerSecond, now });
         } else if (const auto* keyClaim = std::get_if<send_key_claim>(&effect)) {
             carryKeyClaim(from, *keyClaim);
         } else if (const auto* keyReply = std::get_if<reply_key_claim>(&effect)) {
@@ -298,6 +309,7 @@
     std::string asking; ///< Who made the call that is being answered.
     std::uint64_t idAsked = 0; ///< Request whose key is being claimed.
     std::string serviceAsked; ///< Service of that call.
+    send_lend lendAsked; ///< The request for a loan that is being answered.
     send_credit creditAsked; ///< The credit call that is being answered.
     std::vector<std::pair<std::string, take_over_answered>> later; ///< Answers to hand over next.
 };
