Fix: Hops are believed only from registered VMs; malformed deadlines are refused

Found by reading the code as a newcomer, each with a test: a caller could set Lhub-Source-Zone and so pass by the claim of its idempotency key; a malformed Lhub-Deadline-Ms was silently replaced by the default; requests for made-up services left a row of statistics each. One main, one call to the agent and one open-call table in place of copies.

--- a/src/net/rpc_func.h
+++ b/src/net/rpc_func.h
@@ -51,4 +51,16 @@
         });
 }
 
+/** Takes an open call out of @p calls and returns its answer function; an empty one when it is not there. */
+template <typename Calls>
+typename Calls::mapped_type takeCall(Calls& calls, std::uint64_t id)
+{
+    const auto found = calls.find(id);
+    if (found == calls.end())
+        return {};
+    auto answer = std::move(found->second);
+    calls.erase(found);
+    return answer;
+}
+
 } // namespace lhub
--- a/src/programs/lhub_admin.cpp
+++ b/src/programs/lhub_admin.cpp
@@ -36,15 +36,6 @@
 
 int main(int argc, char** argv)
 {
-    CLI::App app("laburnumhub administration API");
-    lhub::program_arguments arguments;
-    lhub::addArguments(app, arguments);
-    CLI11_PARSE(app, argc, argv);
-    const auto settings = lhub::settingsOf(arguments, lhub::adminSettingsFields());
-    if (!settings)
-        return lhub::ExitBadSettings;
-    if (arguments.checkOnly)
-        return lhub::ExitDone;
-    lhub::startLogs(argv[0]);
-    return lhub::runAdmin(*settings);
+    return lhub::runProgram<lhub::admin_settings>(argc, argv, "laburnumhub administration API",
+        lhub::adminSettingsFields(), [](const auto& settings, const auto&) { return lhub::runAdmin(settings); });
 }
--- a/src/programs/lhub_agent.cpp
+++ b/src/programs/lhub_agent.cpp
@@ -60,16 +60,6 @@
 
 int main(int argc, char** argv)
 {
-    CLI::App app("laburnumhub agent: brings the configuration to the entry process of its VM");
-    lhub::program_arguments arguments;
-    lhub::addArguments(app, arguments);
-    lhub::addRecord(app, arguments);
-    CLI11_PARSE(app, argc, argv);
-    const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
-    if (!settings)
-        return lhub::ExitBadSettings;
-    if (arguments.checkOnly)
-        return lhub::ExitDone;
-    lhub::startLogs(argv[0]);
-    return lhub::runAgent(*settings, arguments.recordFile);
+    return lhub::runProgram<lhub::vm_settings>(argc, argv, "laburnumhub agent: brings the configuration to the entry process of its VM",
+        lhub::vmSettingsFields(), [](const auto& settings, const auto& arguments) { return lhub::runAgent(settings, arguments.recordFile); });
 }
--- a/src/programs/lhub_entry.cpp
+++ b/src/programs/lhub_entry.cpp
@@ -19,6 +19,18 @@
     return readClientTable(input);
 }
 
+/** Reads the client blocks of the settings; prints what is wrong. */
+static bool loadClients(const vm_settings& settings, client_table& clients)
+{
+    auto table = readClients(settings.clients);
+    if (!table) {
+        std::cerr << settings.clients << ": " << table.reason << "\n";
+        return false;
+    }
+    clients = std::move(*table);
+    return true;
+}
+
 static int runEntry(const vm_settings& settings, client_table clients, const std::string& recordFile)
 {
     asio::io_context context(1);
@@ -73,21 +85,8 @@
 
 int main(int argc, char** argv)
 {
-    CLI::App app("laburnumhub entry VM: answers look-ups and forwards requests");
-    lhub::program_arguments arguments;
-    lhub::addArguments(app, arguments);
-    lhub::addRecord(app, arguments);
-    CLI11_PARSE(app, argc, argv);
-    const auto settings = lhub::settingsOf(arguments, lhub::vmSettingsFields());
-    if (!settings)
-        return lhub::ExitBadSettings;
-    auto clients = lhub::readClients(settings->clients);
-    if (!clients) {
-        std::cerr << settings->clients << ": " << clients.reason << "\n";
-        return lhub::ExitBadSettings;
-    }
-    if (arguments.checkOnly)
-        return lhub::ExitDone;
-    lhub::startLogs(argv[0]);
-    return lhub::runEntry(*settings, std::move(*clients), arguments.recordFile);
+    lhub::client_table clients;
+    return lhub::runProgram<lhub::vm_settings>(
+        argc, argv, "laburnumhub entry VM: answers look-ups and forwards requests",
+        lhub::vmSettingsFields(), [&](const auto& settings, const auto& arguments) { return lhub::runEntry(settings, std::move(clients), arguments.recordFile); }, [&](const auto& settings) { return lhub::loadClients(settings, clients); });
 }
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -26,12 +26,8 @@
     app.set_version_flag("--version", LHUB_VERSION);
     app.add_option("--settings", arguments.settingsFile, "settings file, JSON with comments")->required();
     app.add_flag("--check", arguments.checkOnly, "validate the settings and exit: 0 if they are right, 2 if not");
-}
-
-/** Adds --record to a program with a reducer. */
-inline void addRecord(CLI::App& app, program_arguments& arguments)
-{
-    app.add_option("--record", arguments.recordFile, "write a trace of all events to this file, for lhub-replay");
+    app.add_option(
+        "--record", arguments.recordFile, "write a trace of all events for lhub-replay (lhub-entry, lhub-agent)");
 }
 
 /** Outcomes that every recorded trace of an entry VM states. */
@@ -56,4 +52,27 @@
     return settings.value;
 }
 
+/**
+ * The main of a program with a settings file: arguments, settings, --check, logs, then @p run.
+ * @param check further checks of the settings; prints what is wrong and returns false.
+ */
+template <typename T>
+int runProgram(
+    int argc, char** argv, const std::string& about, const std::vector<json_field<T>>& table,
+    const std::function<int(const T&, const program_arguments&)>& run,
+    const std::function<bool(const T&)>& check = [](const T&) { return true; })
+{
+    CLI::App app(about);
+    program_arguments arguments;
+    addArguments(app, arguments);
+    CLI11_PARSE(app, argc, argv);
+    const auto settings = settingsOf(arguments, table);
+    if (!settings || !check(*settings))
+        return ExitBadSettings;
+    if (arguments.checkOnly)
+        return ExitDone;
+    startLogs(argv[0]);
+    return run(*settings, arguments);
+}
+
 } // namespace lhub
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -54,12 +54,8 @@
 
 static void answerFetch(agent_shell& shell, const reply_fetch& effect)
 {
-    const auto found = shell.calls.find(effect.callId);
-    if (found == shell.calls.end())
-        return;
-    const auto answer = std::move(found->second);
-    shell.calls.erase(found);
-    answer(effect);
+    if (const auto answer = takeCall(shell.calls, effect.callId))
+        answer(effect);
 }
 
 namespace {
--- a/src/shell/entry_calls.cpp
+++ b/src/shell/entry_calls.cpp
@@ -172,37 +172,47 @@
         });
 }
 
-static void callClaim(entry_shell& shell, const send_claim& effect)
+/** Selects a unary callback method of the agent's asynchronous stub. */
+template <typename Request, typename Reply>
+using agent_method = void (rpc::Agent::StubInterface::async_interface::*)(
+    grpc::ClientContext*, const Request*, Reply*, std::function<void(grpc::Status)>);
+
+/** Calls a method of this VM's agent. */
+template <typename Request, typename Reply>
+static void callAgent(entry_shell& shell, Request request, agent_method<Request, Reply> method,
+    std::function<void(bool, const Reply&)> done)
 {
     auto stub = std::make_shared<rpc::Agent::Stub>(channelTo(shell.channels, shell.settings.agent));
+    callRpc<Request, Reply>(
+        shell.context.get_executor(), std::move(request), RemoteTimeout,
+        [stub, method](auto* context, auto* asked, auto* reply, auto finish) {
+            (stub->async()->*method)(context, asked, reply, std::move(finish));
+        },
+        [stub, done = std::move(done)](const grpc::Status& status, const Reply& reply) { done(status.ok(), reply); });
+}
+
+static void callClaim(entry_shell& shell, const send_claim& effect)
+{
     rpc::ClaimRequest request;
     request.set_service(effect.service);
     request.set_key(effect.key);
     request.set_request_id(effect.requestId);
-    callRpc<rpc::ClaimRequest, rpc::ClaimReply>(
-        shell.context.get_executor(), std::move(request), RemoteTimeout,
-        [stub](auto* context, auto* asked, auto* reply, auto done) {
-            stub->async()->Claim(context, asked, reply, std::move(done));
-        },
-        [&shell, stub, id = effect.id](const grpc::Status& status, const rpc::ClaimReply& reply) {
-            const auto result = status.ok() ? static_cast<claim_result>(reply.result()) : claim_result::Unknown;
+    callAgent<rpc::ClaimRequest, rpc::ClaimReply>(shell, std::move(request),
+        &rpc::Agent::StubInterface::async_interface::Claim,
+        [&shell, id = effect.id](bool ok, const rpc::ClaimReply& reply) {
+            const auto result = ok ? static_cast<claim_result>(reply.result()) : claim_result::Unknown;
             feedEvent(shell, claim_answered { id, result, reply.version(), verdict::MayHaveRun });
         });
 }
 
 static void callUnclaim(entry_shell& shell, const send_unclaim& effect)
 {
-    auto stub = std::make_shared<rpc::Agent::Stub>(channelTo(shell.channels, shell.settings.agent));
     rpc::UnclaimRequest request;
     request.set_service(effect.service);
     request.set_key(effect.key);
     request.set_version(effect.version);
-    callRpc<rpc::UnclaimRequest, rpc::UnclaimReply>(
-        shell.context.get_executor(), std::move(request), RemoteTimeout,
-        [stub](auto* context, auto* asked, auto* reply, auto done) {
-            stub->async()->Unclaim(context, asked, reply, std::move(done));
-        },
-        [stub](const grpc::Status&, const rpc::UnclaimReply&) {});
+    callAgent<rpc::UnclaimRequest, rpc::UnclaimReply>(shell, std::move(request),
+        &rpc::Agent::StubInterface::async_interface::Unclaim, [](bool, const rpc::UnclaimReply&) {});
 }
 
 static void callKeyClaim(entry_shell& shell, const send_key_claim& effect)
--- a/src/shell/entry_http.cpp
+++ b/src/shell/entry_http.cpp
@@ -180,7 +180,7 @@
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     while (true) {
-        exchange each { shell, stream, buffer, {}, 0, {}, {}, {}, true, false, false, true, nullptr, {} };
+        exchange each { shell, stream, buffer, {}, from.to_string(), 0, {}, {}, {}, true, false, false, true, nullptr, {} };
         if (!co_await readHead(each))
             co_return;
         const std::string target(each.parser.get().target());
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -25,12 +25,8 @@
 /** Answers an open call of a peer. */
 static void answerCall(entry_shell& shell, std::uint64_t callId, const entry_effect& effect)
 {
-    const auto found = shell.calls.find(callId);
-    if (found == shell.calls.end())
-        return;
-    const auto answer = std::move(found->second);
-    shell.calls.erase(found);
-    answer(effect);
+    if (const auto answer = takeCall(shell.calls, callId))
+        answer(effect);
 }
 
 namespace {
--- a/src/shell/exchange.cpp
+++ b/src/shell/exchange.cpp
@@ -53,8 +53,32 @@
     co_await http::async_write(each.caller, response, asio::redirect_error(asio::use_awaitable, error));
 }
 
+/** Zone that sent the request as a hop; empty when a caller did. Only a registered VM of that zone is believed. */
+static std::string hopSource(const exchange& each)
+{
+    std::string claimed(each.parser.get()["Lhub-Source-Zone"]);
+    const auto sender = each.shell.index.zoneOfIp.find(each.from);
+    if (sender == each.shell.index.zoneOfIp.end() || sender->second != claimed)
+        return {};
+    return claimed;
+}
+
+/** Deadline that the caller gives; the start of the clock when it gives none, nothing when it is malformed. */
+static std::optional<time_point> callerDeadline(const exchange& each)
+{
+    const auto given = each.parser.get()["Lhub-Deadline-Ms"];
+    if (given.empty())
+        return time_point {};
+    std::uint32_t ms = 0;
+    const char* const end = given.data() + given.size();
+    const auto parsed = std::from_chars(given.data(), end, ms);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return each.shell.clock.now() + milliseconds(ms);
+}
+
 /** The request as the reducer sees it. */
-static request_state describeRequest(const exchange& each)
+static request_state describeRequest(const exchange& each, time_point deadline)
 {
     const auto& head = each.parser.get();
     request_state request;
@@ -63,12 +87,8 @@
     request.service = each.service;
     request.method = std::string(head.method_string());
     request.key = std::string(head["Idempotency-Key"]);
-    request.sourceZone = std::string(head["Lhub-Source-Zone"]);
-    const auto given = head["Lhub-Deadline-Ms"];
-    std::uint32_t ms = 0;
-    const auto parsed = std::from_chars(given.data(), given.data() + given.size(), ms);
-    if (!given.empty() && parsed.ec == std::errc())
-        request.deadline = each.shell.clock.now() + milliseconds(ms);
+    request.sourceZone = hopSource(each);
+    request.deadline = deadline;
     return request;
 }
 
@@ -111,12 +131,22 @@
         each.keepCaller = false;
         co_return;
     }
+    const auto deadline = callerDeadline(each);
+    if (!deadline) {
+        const std::string given(each.parser.get()["Lhub-Deadline-Ms"]);
+        const answer_caller refusal { each.id, static_cast<unsigned>(http::status::bad_request), verdict::NotRun,
+            "Lhub-Deadline-Ms: '" + given + "': expected a number of milliseconds" };
+        co_await sendProblem(each, refusal);
+        co_return;
+    }
     constexpr std::size_t ChannelSize = 4;
     each.commands = std::make_shared<exchange_channel>(shell.context, ChannelSize);
     shell.exchanges[each.id] = each.commands;
-    feedEvent(shell, request_arrived { describeRequest(each) });
+    feedEvent(shell, request_arrived { describeRequest(each, *deadline) });
     co_await obeyCommands(each);
     shell.exchanges.erase(each.id);
+    if (shell.state.view.services.count(each.service) == 0)
+        co_return;
     const std::chrono::duration<double, std::milli> took = shell.clock.now() - began;
     addLatency(shell.latency[each.service], took.count());
 }
--- a/src/shell/exchange_type.h
+++ b/src/shell/exchange_type.h
@@ -24,6 +24,7 @@
     beast::tcp_stream& caller; ///< The caller's connection.
     beast::flat_buffer& buffer; ///< What was read from it and not parsed yet.
     buffer_parser parser; ///< The request.
+    std::string from; ///< IP of the other side.
     std::uint64_t id = 0; ///< Number of the request.
     std::string requestId; ///< Travels on every hop.
     std::string service; ///< From the path.
--- a/src/shell/forward.cpp
+++ b/src/shell/forward.cpp
@@ -47,6 +47,17 @@
     idle.push_back({ std::move(stream), each.shell.clock.now() });
 }
 
+/** Lets a hop come from this VM's own IP, by which the other VM knows it. */
+static void bindHop(forwarding& run, const tcp::endpoint& to, error_code& error)
+{
+    const auto own = parseAddress(run.each.shell.settings.http);
+    if (!run.command.hop || !own)
+        return;
+    run.upstream->socket().open(to.protocol(), error);
+    if (!error)
+        run.upstream->socket().bind(tcp::endpoint(own->address(), 0), error);
+}
+
 /**
  * Opens a connection, or takes an idle one. Requests that may not be repeated always get a fresh one: on an idle
  * connection that the other side has just closed they would end as "may have run".
@@ -66,6 +77,9 @@
     const auto soon = each.shell.clock.now() + each.limits.connectTime;
     run.upstream->expires_at(std::min(soon, run.command.deadline));
     error_code error;
+    bindHop(run, *endpoint, error);
+    if (error)
+        co_return false;
     co_await run.upstream->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (!error)
         run.upstream->socket().set_option(tcp::no_delay(true), error);
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -19,6 +19,7 @@
         index.regionOf[zone] = place.region;
     }
     for (const auto& [name, vm] : view.vms) {
+        index.zoneOfIp[vm.http.substr(0, vm.http.rfind(':'))] = vm.zone;
         if (!isVmLeaving(view, vm) && !isZoneDrained(view, vm.zone))
             index.byZone[vm.zone].push_back({ name, vm.http, 0 });
     }
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -50,6 +50,7 @@
     std::map<std::string, std::vector<std::string>> zonesOf; ///< By region.
     std::map<std::string, std::vector<std::string>> farFrom; ///< Zones with VMs in other regions, by region.
     std::map<std::string, std::string> regionOf; ///< By zone.
+    std::map<std::string, std::string> zoneOfIp; ///< Zone of each registered VM, by its IP; leaving ones too.
 };
 
 } // namespace lhub
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -146,3 +146,24 @@
     CHECK(verdictIn(again) == "ran");
     CHECK(rig.runs() == 1);
 }
+
+TEST_CASE("a caller that calls itself another zone is not believed: its order's key is claimed all the same")
+{
+    forward_rig rig({ script { endpoint_script::Whole } });
+    const auto prefix = json::parse(rig.call(http::verb::get, "/v1/key").response.body());
+    const std::string key = std::string(prefix.at("prefix").as_string()) + "order-1";
+    for (int i = 0; i < 2; ++i)
+        rig.call(http::verb::post, "/s/s/order", "x", { { "Idempotency-Key", key }, { "Lhub-Source-Zone", "a" } });
+    CHECK(rig.runs() == 1);
+}
+
+TEST_CASE("a malformed deadline is refused by name and value, and unknown services leave nothing behind")
+{
+    forward_rig rig({ script { endpoint_script::Whole } });
+    const auto reply = rig.call(http::verb::get, "/s/s/x", {}, { { "Lhub-Deadline-Ms", "soon" } });
+    CHECK(reply.response.result() == http::status::bad_request);
+    CHECK(reply.response.body().find("Lhub-Deadline-Ms: 'soon'") != std::string::npos);
+    CHECK(rig.runs() == 0);
+    rig.call(http::verb::get, "/s/made-up/x");
+    CHECK(rig.shell.latency.empty());
+}
