--- a/src/report/burn_report.cpp
+++ b/src/report/burn_report.cpp
@@ -93,6 +93,7 @@
 static std::string rowText(const service_report& service, const burn_row& row)
 {
     const auto rate = burnRate(row.longSum, service.objective);
+    const auto total = row.longSum.good + row.longSum.bad;
     auto text = format("  %4d min / %2d min: %s", static_cast<int>(row.pair.longWindow.count()),
         static_cast<int>(row.pair.shortWindow.count()), std::string(nameOf(BurnStateNames, row.state)).c_str());
     if (row.state == burn_state::NoData)
@@ -100,7 +101,7 @@
     text += format(", burn rate %.2f and %.2f (alarm from %.1f), %llu bad of %llu", rate,
         burnRate(row.shortSum, service.objective), row.pair.threshold,
         static_cast<unsigned long long>(row.longSum.bad),
-        static_cast<unsigned long long>(row.longSum.good + row.longSum.bad));
+        static_cast<unsigned long long>(total));
     const auto hours = hoursToExhaustion(rate);
     if (hours >= 0)
         text += format(", the budget of 30 days lasts %.0f h at this rate", hours);
@@ -118,8 +119,9 @@
         for (const auto& row : service.rows)
             text += rowText(service, row);
         for (const auto& [zone, slots] : service.headroom) {
+            const auto free = slots.first - std::min(slots.first, slots.second);
             text += format("  headroom %s: %llu of %llu slots free\n", zone.c_str(),
-                static_cast<unsigned long long>(slots.first - std::min(slots.first, slots.second)),
+                static_cast<unsigned long long>(free),
                 static_cast<unsigned long long>(slots.first));
         }
     }
--- a/src/standin/endpoint_standin.cpp
+++ b/src/standin/endpoint_standin.cpp
@@ -63,7 +63,7 @@
     co_return co_await runRequest(endpoint, request);
 }
 
-http_handler makeEndpointHandler(std::shared_ptr<endpoint_standin> endpoint)
+http_handler makeEndpointHandler(const std::shared_ptr<endpoint_standin>& endpoint)
 {
     return [endpoint](const http_request& request) { return answerEndpoint(endpoint, request); };
 }
@@ -102,7 +102,7 @@
     co_return makeProblem(http::status::not_found, "no such endpoint", query["endpoint"]);
 }
 
-http_handler makeEndpointControl(std::shared_ptr<endpoint_standins> endpoints)
+http_handler makeEndpointControl(const std::shared_ptr<endpoint_standins>& endpoints)
 {
     return [endpoints](const http_request& request) { return answerControl(endpoints, request); };
 }
--- a/src/standin/endpoint_standin.h
+++ b/src/standin/endpoint_standin.h
@@ -25,9 +25,9 @@
 using endpoint_standins = std::map<std::string, std::shared_ptr<endpoint_standin>>;
 
 /** Serves one endpoint. The answer repeats the request id and target, so that a caller can check it is its own. */
-http_handler makeEndpointHandler(std::shared_ptr<endpoint_standin> endpoint);
+http_handler makeEndpointHandler(const std::shared_ptr<endpoint_standin>& endpoint);
 
 /** Serves "/v1/endpoints" (totals and state) and "/v1/leave?endpoint=SERVICE/NAME&leaving=1". */
-http_handler makeEndpointControl(std::shared_ptr<endpoint_standins> endpoints);
+http_handler makeEndpointControl(const std::shared_ptr<endpoint_standins>& endpoints);
 
 } // namespace lhub
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -156,7 +156,7 @@
     co_return response;
 }
 
-http_handler makeStoreHandler(std::shared_ptr<store_standin> store)
+http_handler makeStoreHandler(const std::shared_ptr<store_standin>& store)
 {
     return [store](const http_request& request) { return answerStore(store, request); };
 }
--- a/src/standin/store_standin.h
+++ b/src/standin/store_standin.h
@@ -33,6 +33,6 @@
     store_standin& store, const std::string& key, const config_object& next, const http_request& request);
 
 /** A handler that serves the store's protocol and "/v1/control" for faults and counts. */
-http_handler makeStoreHandler(std::shared_ptr<store_standin> store);
+http_handler makeStoreHandler(const std::shared_ptr<store_standin>& store);
 
 } // namespace lhub
--- a/src/table/outcomes.cpp
+++ b/src/table/outcomes.cpp
@@ -25,7 +25,7 @@
     for (const auto& [service, pool] : step.after.pools) {
         for (const auto& [name, endpoint] : pool.endpoints) {
             if (endpoint.inflight > endpoint.slots)
-                return service + "/" + name + " has " + std::to_string(endpoint.inflight) + " requests";
+                return std::string(service).append("/").append(name).append(" has too many requests");
         }
     }
     return {};
@@ -174,7 +174,7 @@
             const auto endpoint = pool.endpoints.find(held.endpoint);
             const bool isNew = before->second.reservations.count(id) == 0 && before->second.role == pool_role::Owner;
             if (isNew && endpoint != pool.endpoints.end() && (endpoint->second.leaving || endpoint->second.drained))
-                return service + "/" + held.endpoint + " is leaving and got a request";
+                return std::string(service).append("/").append(held.endpoint).append(" is leaving and got a request");
         }
     }
     return {};
