Feature: lhub-gate, the entry VM on the platform, one process a machine

What stands: routes, placement, limits, health, gossip and the request's life as pure code under src/, sockets in src/serve, names and formats in platform/.

--- /dev/null
+++ b/src/gate/gate.cpp
@@ -0,0 +1,167 @@
+/** @file gate.cpp Dispatch of events, and what a gate knows of the world. */
+#include "gate/gate_internal.h"
+
+#include "core/hash.h"
+#include "gossip/gossip_func.h"
+#include <algorithm>
+
+namespace lhub {
+
+/** Round trip within a region and its jitter; a connection takes one. */
+static constexpr milliseconds NearConnectTime { 150 };
+/** The same to another region: 110 ms and as much again. */
+static constexpr milliseconds FarConnectTime { 350 };
+/** Added to the announced cold time: the announcement may be that old. */
+static constexpr milliseconds ColdMargin { 500 };
+
+gate_state makeGate(gate_identity self, std::uint64_t incarnation)
+{
+    gate_state gate;
+    gate.members.self = self.vm;
+    gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false }, {} };
+    gate.self = std::move(self);
+    return gate;
+}
+
+bool isReady(const gate_state& gate) { return gate.routes && gate.endpointsKnown && !gate.stopping; }
+
+service_rules rulesOf(const gate_state& gate, const std::string& service)
+{
+    if (!gate.routes)
+        return {};
+    const auto& services = gate.routes->config.services;
+    const auto found = services.find(service);
+    return found == services.end() ? service_rules {} : found->second;
+}
+
+milliseconds connectTimeTo(const gate_state& gate, const std::string& region)
+{
+    return region == gate.self.region ? NearConnectTime : FarConnectTime;
+}
+
+bool isCold(const gate_state& gate, const endpoint_state& endpoint, time_point now)
+{
+    if (now < endpoint.coldUntil)
+        return true;
+    const auto zone = gate.coldZones.find(endpoint.entry.zone);
+    return zone != gate.coldZones.end() && now < zone->second;
+}
+
+bool ownsColdEndpoint(const gate_state& gate, const endpoint_state& endpoint, time_point now)
+{
+    std::vector<rendezvous_candidate> owners;
+    for (const auto* member : aliveMembers(gate.members, gate.gossip, now)) {
+        const auto zone = gate.self.regionOfZone.find(member->zone);
+        if (zone != gate.self.regionOfZone.end() && zone->second == endpoint.region)
+            owners.push_back({ member->vm, 1 });
+    }
+    if (owners.empty())
+        return false;
+    return owners[rendezvousOrder(stableHash(endpoint.entry.id), owners).front()].name == gate.self.vm;
+}
+
+void applyEndpoint(gate_state& gate, time_point now, const endpoint_entry& entry, gate_effects& effects)
+{
+    auto [found, added] = gate.endpoints.try_emplace(entry.id);
+    auto& endpoint = found->second;
+    const bool restarted = !added && (entry.born != endpoint.entry.born || entry.address != endpoint.entry.address);
+    const bool left = !added && entry.leaving && !endpoint.entry.leaving;
+    if (restarted) {
+        const auto inFlight = endpoint.inFlight; // Attempts at the former incarnation still end here.
+        endpoint = endpoint_state {};
+        endpoint.inFlight = inFlight;
+    }
+    endpoint.entry = entry;
+    const auto zone = gate.self.regionOfZone.find(entry.zone);
+    endpoint.region = zone == gate.self.regionOfZone.end() ? entry.zone : zone->second;
+    if (entry.coldLeft.count() > 0)
+        endpoint.coldUntil = std::max(endpoint.coldUntil, now + entry.coldLeft + ColdMargin);
+    if (added || restarted || left)
+        effects.push_back(log_line { "endpoint", { { "id", entry.id }, { "service", entry.service }, { "zone", entry.zone },
+                                                     { "address", entry.address }, { "state", entry.leaving ? "leaving" : "ready" },
+                                                     { "cold_ms", std::to_string(entry.coldLeft.count()) } } });
+}
+
+void removeEndpoint(gate_state& gate, const std::string& id, gate_effects& effects)
+{
+    if (gate.endpoints.erase(id) > 0)
+        effects.push_back(log_line { "endpoint", { { "id", id }, { "state", "gone" } } });
+}
+
+void applyEvacuations(gate_state& gate, time_point now, const std::set<std::string>& zones, gate_effects& effects)
+{
+    for (const auto& zone : zones) {
+        if (gate.evacuated.count(zone) == 0)
+            effects.push_back(log_line { "evacuation", { { "zone", zone }, { "state", "empty" } } });
+    }
+    for (const auto& zone : gate.evacuated) {
+        if (zones.count(zone) > 0)
+            continue;
+        milliseconds cold { 0 };
+        if (gate.routes) {
+            for (const auto& [name, rules] : gate.routes->config.services)
+                cold = std::max(cold, rules.coldPeriod);
+        }
+        gate.coldZones[zone] = now + cold + ColdMargin;
+        effects.push_back(log_line { "evacuation", { { "zone", zone }, { "state", "taken back" } } });
+    }
+    gate.evacuated = zones;
+}
+
+std::vector<std::string> lookUp(const gate_state& gate, std::string_view host, std::string_view region, time_point now)
+{
+    std::vector<std::string> homes;
+    if (gate.routes) {
+        const auto found = gate.routes->byHost.find(canonicalHost(host));
+        if (found != gate.routes->byHost.end()) {
+            for (const auto index : found->second) {
+                const auto& regions = gate.routes->config.routes[index].regions;
+                homes.insert(homes.end(), regions.begin(), regions.end());
+            }
+        }
+    }
+    return membersFor(gate.members, region, homes, gate.self.regionOfZone, gate.gossip, now);
+}
+
+static void applyConfig(gate_state& gate, const config_seen& event, gate_effects& effects)
+{
+    const bool older = gate.routes && event.table->config.version <= gate.routes->config.version;
+    effects.push_back(log_line { "config", { { "version", std::to_string(event.table->config.version) },
+                                               { "revision", std::to_string(event.revision) },
+                                               { "routes", std::to_string(event.table->config.routes.size()) },
+                                               { "outcome", older ? "ignored, older" : "in force" } } });
+    if (older)
+        return;
+    gate.routes = event.table;
+    gate.configRevision = event.revision;
+}
+
+void reduceGate(gate_state& gate, time_point now, const gate_event& event, gate_effects& effects)
+{
+    const bool wasReady = isReady(gate);
+    if (const auto* config = std::get_if<config_seen>(&event))
+        applyConfig(gate, *config, effects);
+    else if (const auto* seen = std::get_if<endpoint_seen>(&event))
+        applyEndpoint(gate, now, seen->entry, effects);
+    else if (const auto* gone = std::get_if<endpoint_gone>(&event))
+        removeEndpoint(gate, gone->id, effects);
+    else if (std::holds_alternative<endpoints_listed>(event))
+        gate.endpointsKnown = true;
+    else if (const auto* evacuations = std::get_if<evacuations_seen>(&event))
+        applyEvacuations(gate, now, evacuations->zones, effects);
+    else if (const auto* request = std::get_if<request_seen>(&event))
+        onRequest(gate, now, *request, effects);
+    else if (const auto* attempt = std::get_if<attempt_seen>(&event))
+        onAttempt(gate, now, *attempt, effects);
+    else if (const auto* caller = std::get_if<caller_gone>(&event))
+        onCallerGone(gate, caller->request, effects);
+    else if (const auto* woken = std::get_if<request_woken>(&event))
+        onWake(gate, now, woken->request, effects);
+    else
+        gate.stopping = true;
+    gate.members.members[gate.self.vm].claim.serving = isReady(gate);
+    if (isReady(gate) != wasReady)
+        effects.push_back(log_line { "ready", { { "ready", isReady(gate) ? "yes" : "no" } } });
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,96 @@
+/** @file log.cpp Structured log lines, by spdlog. */
+#include "log/log_func.h"
+
+#include <algorithm>
+#include <fcntl.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+namespace lhub {
+
+namespace {
+
+    /** The log of the process; used on one thread. */
+    struct process_log {
+        std::shared_ptr<spdlog::logger> logger; ///< Null before openLog().
+        log_bucket bucket; ///< Bound on the volume.
+        log_counts counts; ///< Lines so far.
+        std::uint64_t reported = 0; ///< Dropped lines that a line has told of.
+    };
+
+} // namespace
+
+static process_log& processLog()
+{
+    static process_log log;
+    return log;
+}
+
+bool takeLine(log_bucket& bucket, time_point now)
+{
+    if (bucket.filled != time_point {}) {
+        const double passed = std::chrono::duration<double>(now - bucket.filled).count();
+        bucket.lines = std::min(LogBurst, bucket.lines + passed * LogPerSecond);
+    }
+    bucket.filled = now;
+    if (bucket.lines < 1)
+        return false;
+    bucket.lines -= 1;
+    return true;
+}
+
+void openLog()
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        (void)::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK); // A reader that stalls must not stall requests.
+    auto& log = processLog();
+    log.logger = spdlog::stdout_logger_st("lhub");
+    log.logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %v");
+    log.logger->flush_on(spdlog::level::info);
+}
+
+static void appendValue(std::string& line, std::string_view value)
+{
+    const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string_view::npos;
+    if (plain) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    line += '"';
+}
+
+void writeLine(std::string_view event, const log_fields& fields, time_point now)
+{
+    auto& log = processLog();
+    if (!log.logger)
+        return;
+    if (!takeLine(log.bucket, now)) {
+        ++log.counts.dropped;
+        return;
+    }
+    std::string line = "event=" + std::string(event);
+    for (const auto& [name, value] : fields) {
+        line += ' ';
+        line += name;
+        line += '=';
+        appendValue(line, value);
+    }
+    if (log.counts.dropped > log.reported) {
+        line += " lines_dropped_before=" + std::to_string(log.counts.dropped - log.reported);
+        log.reported = log.counts.dropped;
+    }
+    ++log.counts.written;
+    log.logger->info(line);
+}
+
+const log_counts& logCounts() { return processLog().counts; }
+
+} // namespace lhub
--- /dev/null
+++ b/src/programs/lhub_gate.cpp
@@ -0,0 +1,80 @@
+/** @file lhub_gate.cpp The program lhub-gate: one process that is an entry VM on the platform. */
+#include "platform/settings.h"
+#include "serve/serve_func.h"
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace lhub {
+
+static constexpr int ExitBadSettings = 2; ///< The settings are wrong.
+static constexpr int ExitFailed = 1; ///< An address cannot be listened at.
+static constexpr milliseconds StoreCallTime { 1500 }; ///< The store answers in milliseconds; more is an outage.
+
+static outcome<gate_settings> readGateSettings(const std::string& path)
+{
+    const std::ifstream input(path);
+    if (!input)
+        return failure<gate_settings>(path + ": cannot be read\n");
+    std::stringstream text;
+    text << input.rdbuf();
+    return platform::decodeSettings(path, text.str());
+}
+
+static int runGate(const gate_settings& settings, const std::string& path)
+{
+    asio::io_context context(1);
+    const system_clock_source clock;
+    openLog();
+    const auto incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    gate_shell shell(context, clock, settings, path, makeGate(identityOf(settings), incarnation));
+    auto store = platform::makeObjectStore(context.get_executor(), settings.store, StoreCallTime, shell.storeCalls);
+    if (!store) {
+        std::cerr << store.reason << "\n";
+        return ExitBadSettings;
+    }
+    shell.store = std::move(*store);
+    const auto started = startServers(shell);
+    if (!started) {
+        std::cerr << started.reason << "\n";
+        return ExitFailed;
+    }
+    writeLine("start", { { "vm", settings.vm }, { "zone", settings.zone }, { "version", LHUB_VERSION }, { "incarnation", std::to_string(incarnation) } }, clock.now());
+    startWatches(shell);
+    startGossip(shell);
+    asio::co_spawn(context, followSettings(shell), asio::detached);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const error_code& error, int) {
+        if (!error)
+            asio::co_spawn(context, stopGracefully(shell), asio::detached);
+    });
+    // The settings file is looked at all the time; the signal only must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
+    context.run();
+    return 0;
+}
+
+} // namespace lhub
+
+int main(int argc, char** argv)
+{
+    CLI::App app("laburnumhub entry VM on the platform: look-ups and forwarding in one process");
+    std::string given;
+    bool checkOnly = false;
+    app.set_version_flag("--version", LHUB_VERSION);
+    app.add_option("--settings", given, "settings file, JSON with comments; default: the platform's own");
+    app.add_flag("--check", checkOnly, "validate the settings and exit: 0 if they are right, 2 if not");
+    CLI11_PARSE(app, argc, argv);
+    const auto path = lhub::platform::settingsPath(given);
+    const auto settings = lhub::readGateSettings(path);
+    if (!settings) {
+        std::cerr << settings.reason;
+        return lhub::ExitBadSettings;
+    }
+    return checkOnly ? 0 : lhub::runGate(*settings, path);
+}
--- /dev/null
+++ b/src/serve/serve_attempt.cpp
@@ -0,0 +1,314 @@
+/** @file serve_attempt.cpp One attempt at an endpoint: connect, send, read and check the answer. */
+#include "net/http_func.h"
+#include "serve/serve_func.h"
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace lhub {
+
+/** Answers of former requests that are skipped on one connection before it is given up. */
+static constexpr int MostStrayAnswers = 2;
+/** Kept this much shorter than the endpoint announces, for its clock and the way there. */
+static constexpr milliseconds KeepAliveMargin { 1500 };
+/** Used when the endpoint announces nothing. */
+static constexpr milliseconds DefaultKeepAlive { 3000 };
+/** Requests that may run only once use connections no older than this: on a connection that the endpoint has just closed
+ *  they would end as "may have run". */
+static constexpr milliseconds OnceReuseAge { 1000 };
+/** Unacknowledged data ends a connection after this; a few retransmissions. */
+static constexpr int UserTimeoutMs = 3000;
+/** Idle connections kept for one endpoint. */
+static constexpr std::size_t MostIdlePerAddress = 8;
+
+/** Whether a kept connection is still at the start of an answer: open, and nothing unasked has come. */
+static bool isQuiet(endpoint_connection& connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+static std::unique_ptr<endpoint_connection> takeIdle(gate_shell& shell, const std::string& address, milliseconds maxAge)
+{
+    const auto found = shell.idle.find(address);
+    if (found == shell.idle.end())
+        return nullptr;
+    const auto now = shell.clock.now();
+    auto& kept = found->second;
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back());
+        kept.pop_back();
+        if (now >= connection->keepUntil || !isQuiet(*connection))
+            continue;
+        if (elapsed(connection->idleSince, now) > maxAge)
+            return nullptr;
+        connection->fresh = false;
+        return connection;
+    }
+    return nullptr;
+}
+
+static asio::awaitable<std::unique_ptr<endpoint_connection>> connectTo(
+    gate_shell& shell, gate_attempt& attempt, std::string& reason)
+{
+    const auto endpoint = parseAddress(attempt.command.address);
+    if (!endpoint) {
+        reason = endpoint.reason;
+        co_return nullptr;
+    }
+    ++shell.counters.connectionsOpened;
+    tcp::socket socket(shell.context);
+    asio::steady_timer timer(shell.context, attempt.command.connectTime);
+    bool late = false;
+    timer.async_wait([&](const error_code& error) {
+        if (error)
+            return;
+        late = true;
+        error_code ignored; // Closing ends the connect below.
+        socket.close(ignored);
+    });
+    error_code error;
+    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    timer.cancel();
+    if (late || error) {
+        reason = late ? "connect timed out" : "connect: " + error.message();
+        co_return nullptr;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
+    auto connection = std::make_unique<endpoint_connection>(std::move(socket));
+    connection->address = attempt.command.address;
+    co_return connection;
+}
+
+/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). */
+bool isHopByHop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/** The request as it goes to the endpoint. */
+static http::request<http::string_body> makeRequest(const gate_exchange& exchange, const gate_attempt& attempt, time_point now)
+{
+    http::request<http::string_body> result;
+    result.method_string(exchange.request.method_string());
+    result.target(exchange.request.target());
+    result.version(11);
+    http::token_list named(exchange.request[http::field::connection]);
+    for (const auto& field : exchange.request) {
+        const bool listed = named.exists(field.name_string());
+        if (!isHopByHop(field.name()) && field.name() != http::field::content_length && !listed)
+            result.insert(field.name(), field.name_string(), field.value());
+    }
+    platform::addEndpointFacts(result, attempt.command.endpoint, elapsed(now, attempt.command.deadline));
+    result.body() = exchange.request.body();
+    const bool hadBody = exchange.request.has_content_length() || exchange.request.chunked() || !result.body().empty();
+    if (hadBody)
+        result.content_length(result.body().size());
+    return result;
+}
+
+/** Reads the head of an answer, past provisional ones. */
+static asio::awaitable<error_code> readHead(gate_attempt& attempt, bool headRequest)
+{
+    error_code error;
+    do {
+        attempt.parser.emplace();
+        attempt.parser->body_limit(boost::none);
+        attempt.parser->skip(headRequest);
+        co_await http::async_read_header(attempt.connection->socket, attempt.connection->buffer, *attempt.parser,
+            asio::redirect_error(asio::use_awaitable, error));
+    } while (!error && attempt.parser->get().result_int() < 200);
+    co_return error;
+}
+
+asio::awaitable<bool> readMore(gate_attempt& attempt)
+{
+    if (attempt.parser->is_done())
+        co_return true;
+    const auto before = attempt.body.size();
+    attempt.body.resize(before + RelayBytes);
+    auto& body = attempt.parser->get().body();
+    body.data = attempt.body.data() + before;
+    body.size = RelayBytes;
+    body.more = true;
+    error_code error;
+    co_await http::async_read_some(attempt.connection->socket, attempt.connection->buffer, *attempt.parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    attempt.body.resize(before + RelayBytes - body.size);
+    if (error == http::error::need_buffer)
+        error = {};
+    co_return !error;
+}
+
+/** Reads the rest of an answer that belongs to a former request, without keeping it. */
+static asio::awaitable<bool> skipBody(gate_attempt& attempt)
+{
+    while (!attempt.parser->is_done()) {
+        if (!co_await readMore(attempt))
+            co_return false;
+        attempt.body.clear();
+    }
+    co_return true;
+}
+
+/** Reads the head of the answer to this request; answers to former requests are skipped. */
+static asio::awaitable<bool> readOwnHead(gate_attempt& attempt, const gate_exchange& exchange, std::string& reason)
+{
+    const bool headRequest = exchange.request.method() == http::verb::head;
+    for (int stray = 0; stray <= MostStrayAnswers; ++stray) {
+        const auto error = co_await readHead(attempt, headRequest);
+        if (error) {
+            reason = "answer: " + error.message();
+            co_return false;
+        }
+        attempt.facts = platform::decodeAnswer(attempt.parser->get(), attempt.parser->get().result_int());
+        const bool own = attempt.facts.id == exchange.callerId || (attempt.facts.id.empty() && attempt.facts.notRun);
+        if (own)
+            co_return true;
+        if (!co_await skipBody(attempt))
+            break;
+    }
+    reason = "answer to another request";
+    co_return false;
+}
+
+/** Reads the answer: the head and the body, or the first part of a large one. */
+static asio::awaitable<dispatch_outcome> readAnswer(gate_attempt& attempt, const gate_exchange& exchange, std::string& reason)
+{
+    if (!co_await readOwnHead(attempt, exchange, reason))
+        co_return dispatch_outcome::Lost;
+    while (!attempt.parser->is_done() && attempt.body.size() < WholeAnswerBytes) {
+        if (!co_await readMore(attempt)) {
+            reason = "answer broke off";
+            co_return dispatch_outcome::Cut;
+        }
+    }
+    const auto status = attempt.parser->get().result_int();
+    if (attempt.facts.notRun) {
+        reason = "refused with status " + std::to_string(status);
+        co_return dispatch_outcome::Shed;
+    }
+    // Such a status promises that nothing ran; without the endpoint's proof it cannot be passed on.
+    const bool promises = status == 429 || status == 503 || status == 408 || status == 421;
+    if (promises || (status < 300 && !attempt.facts.signedAnswer)) {
+        reason = "answer without proof, status " + std::to_string(status);
+        co_return dispatch_outcome::Lost;
+    }
+    co_return dispatch_outcome::Whole;
+}
+
+static void report(gate_shell& shell, gate_attempt& attempt, dispatch_outcome ended, std::string reason)
+{
+    attempt.reported = true;
+    attempt_seen event;
+    event.request = attempt.command.request;
+    event.attempt = attempt.command.attempt;
+    event.outcome = attempt.cancelled ? dispatch_outcome::CallerGone : ended;
+    if (attempt.parser && attempt.parser->is_header_done())
+        event.status = attempt.parser->get().result_int();
+    event.misdirected = attempt.facts.misdirected;
+    event.reported = attempt.facts.reported;
+    event.running = attempt.facts.running;
+    event.waiting = attempt.facts.waiting;
+    event.slots = attempt.facts.slots;
+    event.coldLeft = attempt.facts.coldLeft;
+    event.reason = std::move(reason);
+    feedGate(shell, std::move(event));
+}
+
+asio::awaitable<void> runAttempt(gate_shell& shell, std::shared_ptr<gate_attempt> attempt)
+{
+    const auto exchange = attempt->exchange.lock();
+    if (!exchange || attempt->cancelled) {
+        report(shell, *attempt, dispatch_outcome::ConnectFailed, "not sent");
+        co_return;
+    }
+    const bool repeatable = exchange->request.method() == http::verb::get || exchange->request.method() == http::verb::head;
+    attempt->connection = takeIdle(shell, attempt->command.address, repeatable ? milliseconds::max() : OnceReuseAge);
+    std::string reason;
+    if (!attempt->connection) {
+        auto connection = co_await connectTo(shell, *attempt, reason);
+        if (!connection || attempt->cancelled) {
+            report(shell, *attempt, dispatch_outcome::ConnectFailed, reason);
+            co_return;
+        }
+        attempt->connection = std::move(connection);
+    }
+    const auto request = makeRequest(*exchange, *attempt, shell.clock.now());
+    error_code error;
+    co_await http::async_write(attempt->connection->socket, request, asio::redirect_error(asio::use_awaitable, error));
+    // A failed write says little: the endpoint may have answered before it has read a long body.
+    const auto ended = co_await readAnswer(*attempt, *exchange, reason);
+    if (error && ended == dispatch_outcome::Lost)
+        reason = "send: " + error.message();
+    const bool whole = attempt->parser && attempt->parser->is_done();
+    if (whole && !error && !attempt->cancelled)
+        releaseConnection(shell, *attempt);
+    else if (ended != dispatch_outcome::Whole || error)
+        attempt->connection.reset();
+    if (ended == dispatch_outcome::Whole && !whole && error)
+        report(shell, *attempt, dispatch_outcome::Cut, "send: " + error.message());
+    else
+        report(shell, *attempt, ended, std::move(reason));
+}
+
+void cancelAttempt(gate_attempt& attempt)
+{
+    attempt.cancelled = true;
+    if (!attempt.connection)
+        return;
+    error_code ignored; // Closing ends the reads and writes of the attempt.
+    attempt.connection->socket.close(ignored);
+}
+
+/** How long the endpoint keeps the connection. */
+static milliseconds keepAliveOf(const answer_parser& parser)
+{
+    const std::string text(parser.get()[http::field::keep_alive]);
+    const auto at = text.find("timeout=");
+    if (at == std::string::npos)
+        return DefaultKeepAlive;
+    return seconds(std::strtol(text.c_str() + at + 8, nullptr, 10)) - KeepAliveMargin;
+}
+
+void releaseConnection(gate_shell& shell, gate_attempt& attempt)
+{
+    auto connection = std::move(attempt.connection);
+    if (!connection || !attempt.parser->is_done() || !attempt.parser->get().keep_alive() || attempt.parser->get().need_eof())
+        return;
+    const auto keep = keepAliveOf(*attempt.parser);
+    // Bytes after a complete answer belong to no request.
+    if (connection->buffer.size() > 0 || keep.count() <= 0)
+        return;
+    connection->buffer = beast::flat_buffer();
+    connection->idleSince = shell.clock.now();
+    connection->keepUntil = connection->idleSince + keep;
+    auto& kept = shell.idle[connection->address];
+    if (kept.size() < MostIdlePerAddress)
+        kept.push_back(std::move(connection));
+}
+
+void sweepIdle(gate_shell& shell)
+{
+    const auto now = shell.clock.now();
+    for (auto at = shell.idle.begin(); at != shell.idle.end();) {
+        auto& kept = at->second;
+        kept.erase(std::remove_if(kept.begin(), kept.end(), [&](const auto& connection) { return now >= connection->keepUntil; }), kept.end());
+        at = kept.empty() ? shell.idle.erase(at) : std::next(at);
+    }
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/serve/serve_control.cpp
@@ -0,0 +1,192 @@
+/** @file serve_control.cpp Look-ups, readiness, metrics, settings and the graceful stop. */
+#include "gossip/gossip_func.h"
+#include "net/http_func.h"
+#include "platform/settings.h"
+#include "serve/serve_func.h"
+#include <fstream>
+#include <sstream>
+
+namespace lhub {
+
+/** Life of a look-up's answer; a caller learns of a VM's end within it, and some keep it three times as long. */
+static constexpr seconds LookupLife { 2 };
+/** Port of the metrics, as in deploy/system.toml. */
+static constexpr std::uint16_t MetricsPort = 9464;
+/** Between two looks at the settings file. */
+static constexpr milliseconds SettingsPause { 1000 };
+/** Between two sweeps over connections. */
+static constexpr milliseconds SweepPause { 250 };
+/** Parts of the grace time: new connections are refused after the first, the process ends after the second. */
+static constexpr double AcceptPart = 0.6;
+static constexpr double EndPart = 0.93;
+
+static std::string portOf(const std::string& address) { return address.substr(address.rfind(':')); }
+
+static http_response answerLookup(gate_shell& shell, const platform::lookup_question& question)
+{
+    ++shell.counters.lookups;
+    std::vector<std::string> addresses;
+    for (const auto& ip : lookUp(shell.state, question.host, question.region, shell.clock.now()))
+        addresses.push_back(ip + portOf(shell.settings.callers));
+    if (addresses.empty())
+        return makeProblem(http::status::service_unavailable, "no entry VM is ready", "");
+    const auto life = std::min(LookupLife, shell.settings.bounds.lookupLife);
+    return makeAnswer(http::status::ok, platform::encodeLookup(addresses, life));
+}
+
+static asio::awaitable<http_response> answerControl(gate_shell& shell, const http_request& request)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    if (platform::isReadinessCheck(target)) {
+        if (isReady(shell.state))
+            co_return makeAnswer(http::status::ok, "{}");
+        co_return makeProblem(http::status::service_unavailable, "not ready", "");
+    }
+    if (const auto question = platform::decodeLookup(target))
+        co_return answerLookup(shell, *question);
+    co_return makeProblem(http::status::not_found, "no such call", "");
+}
+
+static std::string metricsText(const gate_shell& shell)
+{
+    std::ostringstream text;
+    const auto counter = [&](std::string_view name, std::uint64_t value) {
+        text << "# TYPE lhub_" << name << "_total counter\nlhub_" << name << "_total " << value << "\n";
+    };
+    const auto gauge = [&](std::string_view name, std::uint64_t value) {
+        text << "# TYPE lhub_" << name << " gauge\nlhub_" << name << " " << value << "\n";
+    };
+    const auto& counters = shell.counters;
+    counter("lookups", counters.lookups);
+    counter("requests", counters.requests);
+    counter("relayed", counters.relayed);
+    counter("cut_short", counters.cutShort);
+    counter("refused", counters.refused);
+    counter("failed", counters.failed);
+    counter("attempts", counters.attempts);
+    counter("bad_requests", counters.badRequests);
+    counter("endpoint_connections", counters.connectionsOpened);
+    counter("rejected_objects", counters.rejectedObjects);
+    counter("gossip_sent", counters.gossipSent);
+    counter("gossip_received", counters.gossipReceived);
+    counter("store_reads", shell.storeCalls.reads);
+    counter("store_watches", shell.storeCalls.watches);
+    counter("store_writes", shell.storeCalls.writes);
+    counter("store_failures", shell.storeCalls.failures);
+    counter("log_lines", logCounts().written);
+    counter("log_lines_dropped", logCounts().dropped);
+    gauge("requests_open", shell.exchanges.size());
+    gauge("endpoints", shell.state.endpoints.size());
+    gauge("vms_alive", aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size());
+    gauge("config_version", shell.state.routes ? shell.state.routes->config.version : 0);
+    gauge("config_revision", shell.state.configRevision);
+    text << "# TYPE lhub_request_latency_ms histogram\n";
+    for (const auto& [route, counts] : shell.latency) {
+        std::uint64_t sum = 0;
+        for (std::size_t row = 0; row < counts.size(); ++row) {
+            sum += counts[row];
+            const auto bound = row < LatencyBounds.size() ? std::to_string(LatencyBounds[row]) : std::string("+Inf");
+            text << "lhub_request_latency_ms_bucket{route=\"" << route << "\",le=\"" << bound << "\"} " << sum << "\n";
+        }
+    }
+    return text.str();
+}
+
+static outcome<bool> startServer(gate_shell& shell, std::optional<tcp::acceptor>& acceptor, const std::string& address, http_handler handler)
+{
+    auto listening = listenAt(shell.context.get_executor(), address);
+    if (!listening)
+        return failure<bool>(listening.reason);
+    acceptor = std::move(*listening);
+    static constexpr std::uint64_t LargestControlBody = 4096;
+    asio::co_spawn(shell.context, serveHttp(*acceptor, std::move(handler), { LargestControlBody, seconds(30) }), asio::detached);
+    return success(true);
+}
+
+static asio::awaitable<void> sweep(gate_shell& shell)
+{
+    while (true) {
+        co_await pauseFor(SweepPause);
+        sweepCallers(shell);
+        sweepIdle(shell);
+    }
+}
+
+outcome<bool> startServers(gate_shell& shell)
+{
+    const auto control = [&shell](const http_request& request) { return answerControl(shell, request); };
+    auto started = startServer(shell, shell.readyAcceptor, shell.settings.ready, control);
+    if (started)
+        started = startServer(shell, shell.lookupAcceptor, shell.settings.lookups, control);
+    if (!started)
+        return started;
+    const auto metrics = startServer(shell, shell.metricsAcceptor, shell.settings.ip + ":" + std::to_string(MetricsPort),
+        [&shell](const http_request&) -> asio::awaitable<http_response> {
+            co_return makeAnswer(http::status::ok, metricsText(shell), "text/plain; version=0.0.4");
+        });
+    if (!metrics) // Requests are served all the same.
+        writeLine("metrics", { { "state", "unavailable" }, { "reason", metrics.reason } }, shell.clock.now());
+    auto listening = listenAt(shell.context.get_executor(), shell.settings.callers);
+    if (!listening)
+        return failure<bool>(listening.reason);
+    shell.callerAcceptor = std::move(*listening);
+    asio::co_spawn(shell.context, acceptCallers(shell), asio::detached);
+    asio::co_spawn(shell.context, sweep(shell), asio::detached);
+    return success(true);
+}
+
+asio::awaitable<void> stopGracefully(gate_shell& shell)
+{
+    const auto begun = shell.clock.now();
+    const auto grace = shell.settings.bounds.stopGrace;
+    const auto part = [&](double share) {
+        return begun + std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace) * share);
+    };
+    writeLine("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, begun);
+    feedGate(shell, stop_requested {});
+    shell.stopping = true;
+    while (shell.clock.now() < part(EndPart)) {
+        co_await pauseFor(milliseconds(50));
+        const bool accepting = shell.callerAcceptor->is_open();
+        if (accepting && shell.clock.now() >= part(AcceptPart)) {
+            error_code ignored; // It may be closed already.
+            shell.callerAcceptor->close(ignored);
+        }
+        if (!accepting && shell.exchanges.empty())
+            break;
+    }
+    writeLine("stopped", { { "open", std::to_string(shell.exchanges.size()) } }, shell.clock.now());
+    shell.context.stop();
+}
+
+static std::string readFile(const std::string& path)
+{
+    const std::ifstream input(path);
+    std::stringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+asio::awaitable<void> followSettings(gate_shell& shell)
+{
+    auto known = readFile(shell.settingsFile);
+    while (true) {
+        co_await pauseFor(SettingsPause);
+        auto text = readFile(shell.settingsFile);
+        if (text == known || text.empty())
+            continue;
+        known = std::move(text);
+        auto settings = platform::decodeSettings(shell.settingsFile, known);
+        if (!settings) {
+            writeLine("reload", { { "outcome", "rejected" }, { "reason", settings.reason } }, shell.clock.now());
+            continue;
+        }
+        shell.settings.bounds = settings->bounds;
+        shell.settings.seeds = settings->seeds;
+        shell.settings.regionOfZone = settings->regionOfZone;
+        shell.state.self = identityOf(shell.settings);
+        writeLine("reload", { { "outcome", "in force" } }, shell.clock.now());
+    }
+}
+
+} // namespace lhub
--- /dev/null
+++ b/src/serve/serve_func.h
@@ -0,0 +1,57 @@
+/** @file serve_func.h The shell of lhub-gate. All functions run on the thread of the context. */
+#pragma once
+
+#include "log/log_func.h"
+#include "serve/serve_type.h"
+
+namespace lhub {
+
+/** Reduces an event now and carries out its effects; events from inside effects wait their turn. */
+void feedGate(gate_shell& shell, gate_event event);
+
+/** Waits for @p span. */
+asio::awaitable<void> pauseFor(milliseconds span);
+
+/** Carries out an attempt and feeds its end. */
+asio::awaitable<void> runAttempt(gate_shell& shell, std::shared_ptr<gate_attempt> attempt);
+
+/** Stops an attempt; its end is still fed. */
+void cancelAttempt(gate_attempt& attempt);
+
+/** Reads the next bytes of an answer's body into the attempt. @return false when the answer broke off. */
+asio::awaitable<bool> readMore(gate_attempt& attempt);
+
+/** Gives the connection of a whole answer back for later attempts, or closes it. */
+void releaseConnection(gate_shell& shell, gate_attempt& attempt);
+
+/** Closes kept connections that are about to be closed by the endpoint. */
+void sweepIdle(gate_shell& shell);
+
+/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). Thread safe. */
+bool isHopByHop(http::field name);
+
+/** Accepts callers until the acceptor is closed. */
+asio::awaitable<void> acceptCallers(gate_shell& shell);
+
+/** Closes callers' connections that have been silent or slow for too long. */
+void sweepCallers(gate_shell& shell);
+
+/** Keeps reading the store: configuration, endpoints and evacuations, each in a loop of its own. */
+void startWatches(gate_shell& shell);
+
+/** Registers this VM, reads the other VMs and keeps telling them. */
+void startGossip(gate_shell& shell);
+
+/** Look-ups, readiness checks and metrics. Fails with the reason. */
+outcome<bool> startServers(gate_shell& shell);
+
+/** Stops within the grace time: readiness and look-ups say no at once, callers are served until they have moved. */
+asio::awaitable<void> stopGracefully(gate_shell& shell);
+
+/** Reads the settings file again whenever it changes. */
+asio::awaitable<void> followSettings(gate_shell& shell);
+
+/** Applies the part of the settings that decisions rest on. */
+gate_identity identityOf(const gate_settings& settings);
+
+} // namespace lhub
--- /dev/null
+++ b/src/serve/serve_gossip.cpp
@@ -0,0 +1,136 @@
+/** @file serve_gossip.cpp Registers this VM in the store and exchanges claims with the other VMs over UDP. */
+#include "gossip/gossip_func.h"
+#include "net/http_func.h"
+#include "platform/objects.h"
+#include "serve/serve_func.h"
+
+namespace lhub {
+
+/** Pause between two tries to register. */
+static constexpr milliseconds RegisterPause { 500 };
+/** Largest datagram: claims of gossip_limits::claimsPerMessage members. */
+static constexpr std::size_t LargestDatagram = 16 * 1024;
+
+using udp = asio::ip::udp;
+
+static void callStoreOnce(gate_shell& shell, store_request request, store_callback done) { shell.store->call(request, std::move(done)); }
+
+static void listMembers(gate_shell& shell);
+
+static void retryLater(gate_shell& shell, void (*step)(gate_shell&))
+{
+    auto later = [&shell, step]() -> asio::awaitable<void> {
+        co_await pauseFor(RegisterPause);
+        step(shell);
+    };
+    asio::co_spawn(shell.context, std::move(later), asio::detached);
+}
+
+/** Writes this VM's own object; a lost reply is followed by another try, which meets the conflict and replaces. */
+static void registerSelf(gate_shell& shell, std::uint64_t present)
+{
+    store_request request;
+    request.operation = store_operation::Put;
+    request.key = std::string(platform::MemberPrefix) + shell.settings.vm;
+    request.value = platform::encodeMember(shell.state.members.members.at(shell.settings.vm).claim);
+    request.expected = present;
+    callStoreOnce(shell, request, [&shell](const store_reply& reply) {
+        if (reply.result == store_result::Done) {
+            writeLine("registered", { { "vm", shell.settings.vm }, { "revision", std::to_string(reply.object.version) } }, shell.clock.now());
+            listMembers(shell);
+            return;
+        }
+        if (reply.result == store_result::Conflict && reply.object.version > 0) {
+            registerSelf(shell, reply.object.version);
+            return;
+        }
+        writeLine("register_failed", { { "reason", reply.reason } }, shell.clock.now());
+        retryLater(shell, [](gate_shell& again) { registerSelf(again, 0); });
+    });
+}
+
+/** Reads all VMs once; gossip keeps the list up to date from then on. */
+static void listMembers(gate_shell& shell)
+{
+    store_request request;
+    request.operation = store_operation::Watch;
+    request.key = platform::MemberPrefix;
+    callStoreOnce(shell, request, [&shell](const store_reply& reply) {
+        if (reply.result != store_result::Done) {
+            writeLine("members_unread", { { "reason", reply.reason } }, shell.clock.now());
+            retryLater(shell, listMembers);
+            return;
+        }
+        std::vector<member_claim> claims;
+        for (const auto& item : reply.objects) {
+            auto claim = platform::decodeMember(item.object.value);
+            if (claim)
+                claims.push_back(std::move(*claim));
+            else
+                ++shell.counters.rejectedObjects;
+        }
+        mergeClaims(shell.state.members, claims, {}, shell.clock.now());
+        writeLine("members", { { "known", std::to_string(shell.state.members.members.size()) } }, shell.clock.now());
+    });
+}
+
+static asio::awaitable<void> receiveClaims(gate_shell& shell, std::shared_ptr<udp::socket> socket)
+{
+    std::string buffer(LargestDatagram, '\0');
+    error_code error;
+    while (socket->is_open()) {
+        udp::endpoint from;
+        const auto size = co_await socket->async_receive_from(
+            asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            continue;
+        ++shell.counters.gossipReceived;
+        const auto claims = decodeClaims(std::string_view(buffer).substr(0, size));
+        if (!claims.empty())
+            mergeClaims(shell.state.members, claims, claims.front().vm, shell.clock.now());
+    }
+}
+
+static asio::awaitable<void> sendClaims(gate_shell& shell, std::shared_ptr<udp::socket> socket)
+{
+    while (socket->is_open()) {
+        const auto now = shell.clock.now();
+        const auto message = encodeClaims(claimsToSend(shell.state.members, shell.state.gossip, now));
+        auto targets = gossipTargets(shell.state.members, shell.state.gossip, now);
+        if (targets.size() < shell.state.gossip.fanout) {
+            for (const auto& seed : shell.settings.seeds)
+                targets.push_back(seed.substr(0, seed.rfind(':')));
+        }
+        for (const auto& ip : targets) {
+            error_code error;
+            const auto address = asio::ip::make_address(ip, error);
+            if (error || ip == shell.settings.ip)
+                continue;
+            socket->send_to(asio::buffer(message), udp::endpoint(address, shell.settings.gossipPort), 0, error);
+            shell.counters.gossipSent += error ? 0 : 1; // A lost datagram is what gossip is made for.
+        }
+        co_await pauseFor(shell.state.gossip.interval);
+    }
+}
+
+void startGossip(gate_shell& shell)
+{
+    registerSelf(shell, 0);
+    error_code error;
+    const auto socket = std::make_shared<udp::socket>(shell.context);
+    const udp::endpoint own(asio::ip::make_address(shell.settings.ip, error), shell.settings.gossipPort);
+    if (!error)
+        socket->open(own.protocol(), error);
+    if (!error)
+        socket->bind(own, error);
+    if (!error)
+        socket->non_blocking(true, error);
+    if (error) {
+        writeLine("gossip", { { "state", "unavailable" }, { "reason", error.message() } }, shell.clock.now());
+        return;
+    }
+    asio::co_spawn(shell.context, receiveClaims(shell, socket), asio::detached);
+    asio::co_spawn(shell.context, sendClaims(shell, socket), asio::detached);
+}
+
+} // namespace lhub
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -32,15 +32,17 @@
     Conflict, ///< The condition did not hold: nothing was written; the reply holds what is there.
     Missing, ///< No such object.
     Refused, ///< Proved not carried out: no connection, or the store's own refusal.
+    HistoryGone, ///< A Watch asked for changes that the store no longer keeps: list again.
     Unknown, ///< A write may have been carried out: the reply was lost.
 };
 
 /** Names of store results in traces. */
-inline constexpr std::array<name_row<store_result>, 5> StoreResultNames { {
+inline constexpr std::array<name_row<store_result>, 6> StoreResultNames { {
     { store_result::Done, "done" },
     { store_result::Conflict, "conflict" },
     { store_result::Missing, "missing" },
     { store_result::Refused, "refused" },
+    { store_result::HistoryGone, "history_gone" },
     { store_result::Unknown, "unknown" },
 } };
 
