Fix: Crashes of lhub-gate: co_await inside conditions, and a connect timer that outlived its frame

Cause: g++ 12 miscompiles co_await in conditions and conditional expressions (trap in skipBody); the connect timer's handler kept references to locals.

--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -57,23 +57,28 @@
         co_return nullptr;
     }
     ++shell.counters.connectionsOpened;
-    tcp::socket socket(shell.context);
+    struct connecting {
+        tcp::socket socket; ///< Closed when time is up.
+        bool late = false; ///< Time was up.
+    };
+    // Shared: the timer may have expired already when the connection succeeds, and its handler runs after this function.
+    const auto state = std::make_shared<connecting>(connecting { tcp::socket(shell.context) });
     asio::steady_timer timer(shell.context, attempt.command.connectTime);
-    bool late = false;
-    timer.async_wait([&](const error_code& error) {
+    timer.async_wait([state](const error_code& error) {
         if (error)
             return;
-        late = true;
+        state->late = true;
         error_code ignored; // Closing ends the connect below.
-        socket.close(ignored);
+        state->socket.close(ignored);
     });
     error_code error;
-    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    co_await state->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
     timer.cancel();
-    if (late || error) {
-        reason = late ? "connect timed out" : "connect: " + error.message();
+    if (state->late || error) {
+        reason = state->late ? "connect timed out" : "connect: " + error.message();
         co_return nullptr;
     }
+    auto socket = std::move(state->socket);
     socket.set_option(tcp::no_delay(true), error);
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
     auto connection = std::make_unique<endpoint_connection>(std::move(socket));
@@ -157,7 +162,8 @@
 static asio::awaitable<bool> skipBody(gate_attempt& attempt)
 {
     while (!attempt.parser->is_done()) {
-        if (!co_await readMore(attempt))
+        const bool read = co_await readMore(attempt);
+        if (!read)
             co_return false;
         attempt.body.clear();
     }
@@ -178,7 +184,8 @@
         const bool own = attempt.facts.id == exchange.callerId || (attempt.facts.id.empty() && attempt.facts.notRun);
         if (own)
             co_return true;
-        if (!co_await skipBody(attempt))
+        const bool skipped = co_await skipBody(attempt);
+        if (!skipped)
             break;
     }
     reason = "answer to another request";
@@ -188,10 +195,12 @@
 /** Reads the answer: the head and the body, or the first part of a large one. */
 static asio::awaitable<dispatch_outcome> readAnswer(gate_attempt& attempt, const gate_exchange& exchange, std::string& reason)
 {
-    if (!co_await readOwnHead(attempt, exchange, reason))
+    const bool head = co_await readOwnHead(attempt, exchange, reason);
+    if (!head)
         co_return dispatch_outcome::Lost;
     while (!attempt.parser->is_done() && attempt.body.size() < WholeAnswerBytes) {
-        if (!co_await readMore(attempt)) {
+        const bool read = co_await readMore(attempt);
+        if (!read) {
             reason = "answer broke off";
             co_return dispatch_outcome::Cut;
         }
--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -139,6 +139,8 @@
             caller->badStatus = statusOf(error);
             break;
         }
+        if (caller->closing) // An earlier answer closes the connection: this request counts as not read.
+            break;
         const bool last = !parser.get().keep_alive();
         startExchange(shell, caller, parser.release());
         notify(*caller);
@@ -219,7 +221,10 @@
     co_await http::async_write_header(caller.socket, serializer, token);
     bool more = true;
     while (!error && more) {
-        if (attempt.body.empty() && !co_await readMore(attempt))
+        bool read = true;
+        if (attempt.body.empty())
+            read = co_await readMore(attempt);
+        if (!read)
             co_return false;
         more = !attempt.parser->is_done();
         response.body().data = attempt.body.empty() ? nullptr : attempt.body.data();
@@ -236,8 +241,9 @@
 /** Writes the answer of one exchange. @return false when the connection cannot go on. */
 static asio::awaitable<bool> writeAnswer(gate_shell& shell, const caller_pointer& caller, gate_exchange& exchange)
 {
-    const bool close = shell.stopping || !exchange.request.keep_alive()
-        || (caller->closing && caller->queue.size() == 1);
+    // Requests that were read behind this one are still answered; nothing more is read.
+    caller->closing = caller->closing || shell.stopping || !exchange.request.keep_alive();
+    const bool close = caller->closing && caller->queue.size() == 1;
     if (exchange.own) {
         auto response = ownAnswer(exchange, *exchange.own);
         response.version(exchange.request.version());
@@ -252,7 +258,11 @@
     }
     const auto attempt = exchange.relayed;
     const bool whole = attempt->parser->is_done();
-    const bool done = whole ? co_await relayWhole(*caller, exchange, close) : co_await relayStream(*caller, exchange, close);
+    bool done = false;
+    if (whole)
+        done = co_await relayWhole(*caller, exchange, close);
+    else
+        done = co_await relayStream(*caller, exchange, close);
     if (done && !whole)
         releaseConnection(shell, *attempt);
     if (done) {
