--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -18,7 +18,11 @@
 static constexpr double FirstWarmPart = 0.35;
 /** Until the first answer: cold work as a part of the objective. */
 static constexpr double FirstColdPart = 0.9;
-/** Weight of the newest measurement of a route's times. */
+/** Quantiles of the measured work that stand for warm and for cold work: queues and objects that were forgotten lengthen
+ *  what should have been warm, objects that other VMs warmed shorten what should have been cold. */
+static constexpr double WarmQuantile = 0.3;
+static constexpr double ColdQuantile = 0.6;
+/** Step of a quantile's estimate for one answer, relative to the estimate. */
 static constexpr double TimesGain = 0.05;
 /** Requests in a thousand that load may move between regions, in any two seconds. */
 static constexpr std::uint32_t MovedPermille = 80;
@@ -302,6 +306,13 @@
     tryRequest(gate, now, event.id, effects);
 }
 
+/** Moves the estimate of a quantile by one value: up by its part, down by the rest, in the long run balanced there. */
+static double nextQuantile(double estimate, double value, double quantile)
+{
+    const double step = TimesGain * estimate;
+    return estimate + (value < estimate ? -step * (1 - quantile) : step * quantile);
+}
+
 /** Learns from a whole answer. */
 static void learn(gate_state& gate, const gate_request& request, const attempt_state& attempt, endpoint_state& endpoint, time_point now)
 {
@@ -309,9 +320,11 @@
     const double far = endpoint.region == gate.self.region ? 0 : FarMs;
     const double work = std::max(1.0, took - attempt.waitMs - far);
     auto& times = gate.times[request.rules->name];
-    auto& learned = attempt.warm ? times.warmMs : times.coldMs;
-    learned = learned <= 0 ? work : learned + (work - learned) * TimesGain;
     const auto usual = timesOf(gate, *request.rules);
+    if (attempt.warm)
+        times.warmMs = nextQuantile(usual.warmMs, work, WarmQuantile);
+    else
+        times.coldMs = nextQuantile(usual.coldMs, work, ColdQuantile);
     const double expected = attempt.waitMs + far + (attempt.warm ? usual.warmMs : usual.coldMs);
     noteLatency(endpoint.health, milliseconds(static_cast<std::int64_t>(took)), milliseconds(static_cast<std::int64_t>(expected)), now);
 }
--- a/src/place/place.cpp
+++ b/src/place/place.cpp
@@ -8,7 +8,9 @@
 namespace lhub {
 
 static constexpr std::uint64_t RegionSeed = 0x9d3f; ///< Separates the choice of region from that of endpoints.
-static constexpr std::size_t RanksLookedAt = 4; ///< Endpoints of a region that one object may be spread over.
+/** Endpoints of a region that one object may be spread over. More copies than two push other objects out of the
+ *  endpoints' memory, and under load that feeds on itself: cold work takes three times as long. */
+static constexpr std::size_t RanksLookedAt = 2;
 
 region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots)
 {
