--- a/src/bench/load_play.cpp
+++ b/src/bench/load_play.cpp
@@ -264,6 +264,7 @@
     play.events.push({ effect.at, ++play.made, [&play, vm, id = effect.request] { feed(play, vm, request_woken { id }); } });
 }
 
+static void carryOut(load_play&, std::size_t, const drop_connections&) { }
 static void carryOut(load_play&, std::size_t, const log_line&) { }
 
 static void feed(load_play& play, std::size_t vm, const gate_event& event)
--- a/src/gate/gate_event.h
+++ b/src/gate/gate_event.h
@@ -103,6 +103,11 @@
     std::uint64_t attempt = 0; ///< Which.
 };
 
+/** Close the kept connections to an endpoint: they may lead nowhere. */
+struct drop_connections {
+    std::string address; ///< Of the endpoint.
+};
+
 /** Feed request_woken at a time. */
 struct wake_request {
     std::uint64_t request = 0; ///< The request.
@@ -115,7 +120,8 @@
     std::vector<std::pair<std::string_view, std::string>> fields; ///< Inputs and outcome.
 };
 
-using gate_effect = std::variant<send_attempt, relay_answer, answer_request, cancel_attempt, wake_request, log_line>;
+using gate_effect = std::variant<send_attempt, relay_answer, answer_request, cancel_attempt, drop_connections,
+    wake_request, log_line>;
 using gate_effects = std::vector<gate_effect>;
 
 } // namespace lhub
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -26,10 +26,11 @@
 static constexpr double TimesGain = 0.05;
 /** Requests in a thousand that load may move between regions, in any two seconds. */
 static constexpr std::uint32_t MovedPermille = 80;
-/** A second attempt is sent when an answer is overdue by this factor. */
-static constexpr double HedgeFactor = 2.5;
+/** An answer is overdue at this many times what was expected, and of cold work, beyond the wait for a slot. */
+static constexpr double OverdueFactor = 2.5;
+static constexpr double OverdueColdFactor = 1.5;
 /** Never sooner than this: shorter delays are jitter. */
-static constexpr double HedgeLeastMs = 120;
+static constexpr double OverdueLeastMs = 120;
 /** Least and most time until a refused caller comes back. */
 static constexpr milliseconds LeastRetryAfter { 100 };
 static constexpr milliseconds MostRetryAfter { 1000 };
@@ -192,12 +193,13 @@
     answer(gate, now, id, now >= request.deadline ? 504 : 502, milliseconds(0), reason, effects);
 }
 
-static void wakeForHedge(gate_state& gate, std::uint64_t id, const attempt_state& attempt, gate_effects& effects)
+/** When an attempt without an answer is overdue: several times what was expected, and more than cold work takes. */
+static time_point overdueAt(const gate_state& gate, const gate_request& request, const attempt_state& attempt)
 {
-    const auto& request = gate.requests.at(id);
-    const double after = std::max(HedgeLeastMs, HedgeFactor * attempt.expectedMs) + attempt.waitMs;
-    const auto at = attempt.sentAt + milliseconds(static_cast<std::int64_t>(after));
-    effects.push_back(wake_request { id, request.rules->repeatable && !request.hedged ? std::min(at, request.deadline) : request.deadline });
+    const double after = std::max({ OverdueLeastMs, OverdueFactor * attempt.expectedMs,
+                             OverdueColdFactor * timesOf(gate, *request.rules).coldMs })
+        + attempt.waitMs;
+    return attempt.sentAt + milliseconds(static_cast<std::int64_t>(after));
 }
 
 /** Hands the request to the chosen endpoint. */
@@ -235,7 +237,7 @@
             { "config", std::to_string(gate.configRevision) } } });
     effects.push_back(send_attempt { id, attempt.id, endpoint.entry.id, endpoint.entry.address, request.deadline,
         connectTimeTo(gate, endpoint.region) });
-    wakeForHedge(gate, id, attempt, effects);
+    effects.push_back(wake_request { id, std::min(overdueAt(gate, request, attempt), request.deadline) });
 }
 
 /** Whether a further attempt is allowed. Connections that failed reached nobody and draw on no budget. */
@@ -343,6 +345,17 @@
     }
 }
 
+/** Counts a signal; an ejected endpoint loses its kept connections, so that the next attempt there proves a connection. */
+static void signalEndpoint(endpoint_state& endpoint, health_signal signal, const std::string& reason, time_point now, gate_effects& effects)
+{
+    if (!noteSignal(endpoint.health, signal, now))
+        return;
+    effects.push_back(drop_connections { endpoint.entry.address });
+    effects.push_back(log_line { "endpoint",
+        { { "id", endpoint.entry.id }, { "state", "ejected" }, { "reason", reason },
+            { "for_ms", std::to_string(elapsed(now, endpoint.health.ejectedUntil).count()) } } });
+}
+
 /** Takes what the end of an attempt says of the endpoint into account. */
 static void noteEndpoint(gate_state& gate, const gate_request& request, const attempt_state& attempt, const attempt_seen& event,
     time_point now, gate_effects& effects)
@@ -360,6 +373,8 @@
         endpoint.othersLoad = std::max(0.0, event.running + event.waiting - endpoint.inFlight);
         endpoint.reportedAt = now;
     }
+    if (event.status != 0)
+        endpoint.answeredAt = now;
     const bool full = event.outcome == dispatch_outcome::Shed && event.reported && event.running >= event.slots;
     if (event.outcome == dispatch_outcome::Whole && event.status < 500)
         learn(gate, request, attempt, endpoint, now);
@@ -367,8 +382,8 @@
         removeEndpoint(gate, attempt.endpoint, effects);
         return;
     }
-    if (!full && noteSignal(endpoint.health, signalOf(event), now))
-        effects.push_back(log_line { "endpoint", { { "id", attempt.endpoint }, { "state", "ejected" }, { "reason", event.reason }, { "for_ms", std::to_string(elapsed(now, endpoint.health.ejectedUntil).count()) } } });
+    if (!full)
+        signalEndpoint(endpoint, signalOf(event), event.reason, now, effects);
 }
 
 /** Whether an answer is relayed as it is; otherwise the request goes on elsewhere. */
@@ -424,7 +439,6 @@
 {
     auto& request = gate.requests.at(id);
     request.hedged = true;
-    effects.push_back(wake_request { id, request.deadline });
     if (!mayTryAgain(gate, request, now))
         return;
     const auto list = candidatesFor(gate, request, now);
@@ -435,27 +449,36 @@
     sendTo(gate, now, id, *choice, *list.endpoints[choice->index], effects);
 }
 
+/** Endpoints that have answered nothing since an overdue attempt was sent get a bad signal, once an attempt. */
+static void noteOverdue(gate_state& gate, gate_request& request, time_point now, gate_effects& effects)
+{
+    for (auto& attempt : request.attempts) {
+        const auto endpoint = gate.endpoints.find(attempt.endpoint);
+        if (!attempt.open || attempt.overdue || endpoint == gate.endpoints.end())
+            continue;
+        if (now < overdueAt(gate, request, attempt) && now < request.deadline)
+            continue;
+        attempt.overdue = true;
+        if (endpoint->second.answeredAt <= attempt.sentAt)
+            signalEndpoint(endpoint->second, health_signal::Overdue, "overdue", now, effects);
+    }
+}
+
 void onWake(gate_state& gate, time_point now, std::uint64_t id, gate_effects& effects)
 {
     const auto found = gate.requests.find(id);
     if (found == gate.requests.end() || found->second.callerGone)
         return;
     auto& request = found->second;
+    noteOverdue(gate, request, now, effects);
     if (now < request.deadline) {
+        effects.push_back(wake_request { id, request.deadline });
         if (!request.hedged && request.rules->repeatable)
             hedge(gate, now, id, effects);
-        else
-            effects.push_back(wake_request { id, request.deadline });
         return;
     }
-    for (auto& attempt : request.attempts) {
-        if (!attempt.open)
-            continue;
-        request.mayHaveRun = true;
-        const auto endpoint = gate.endpoints.find(attempt.endpoint);
-        if (endpoint != gate.endpoints.end() && noteSignal(endpoint->second.health, health_signal::Overdue, now))
-            effects.push_back(log_line { "endpoint", { { "id", attempt.endpoint }, { "state", "ejected" }, { "reason", "overdue" } } });
-    }
+    for (const auto& attempt : request.attempts)
+        request.mayHaveRun = request.mayHaveRun || attempt.open;
     giveUp(gate, now, id, 0, "deadline", effects);
 }
 
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -35,6 +35,7 @@
     std::uint32_t inFlight = 0; ///< Own attempts at it.
     double othersLoad = 0; ///< Requests of other VMs at it, by its last report.
     time_point reportedAt {}; ///< When it last reported.
+    time_point answeredAt {}; ///< When it last answered anything.
     std::deque<std::uint64_t> recentKeys; ///< Objects that this VM had it handle lately, newest last.
 };
 
@@ -53,6 +54,7 @@
     double waitMs = 0; ///< Expected wait for a slot.
     bool warm = false; ///< The object was expected to be warm there.
     bool open = true; ///< Its end has not been seen yet.
+    bool overdue = false; ///< Its lateness was taken into account.
 };
 
 /** An open request. */
--- a/src/serve/serve_effects.cpp
+++ b/src/serve/serve_effects.cpp
@@ -71,6 +71,8 @@
         cancelAttempt(*found->second);
 }
 
+static void carryOut(gate_shell& shell, const drop_connections& effect) { shell.idle.erase(effect.address); }
+
 static void carryOut(gate_shell& shell, const wake_request& effect)
 {
     const auto exchange = exchangeOf(shell, effect.request);
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -380,3 +380,44 @@
     }
     CHECK(refused == 1);
 }
+
+TEST_CASE("an endpoint that goes silent is left after three overdue attempts, long before their deadlines")
+{
+    auto rig = makeRig();
+    ask(rig, "/write/x");
+    const auto silent = find<send_attempt>(rig)->endpoint;
+    std::vector<std::uint64_t> asked { 1 };
+    for (int i = 0; i < 2; ++i)
+        asked.push_back(ask(rig, "/write/x"));
+    const auto wake = find<wake_request>(rig)->at;
+    REQUIRE(wake < Start + milliseconds(1000));
+    rig.now = wake;
+    bool dropped = false;
+    for (const auto id : asked) {
+        feed(rig, request_woken { id });
+        dropped = dropped || find<drop_connections>(rig);
+        CHECK_FALSE(find<answer_request>(rig)); // It is still waited for.
+    }
+    CHECK(dropped);
+    ask(rig, "/write/x");
+    REQUIRE(find<send_attempt>(rig));
+    CHECK(find<send_attempt>(rig)->endpoint != silent);
+}
+
+TEST_CASE("an endpoint that is only slow to answer some requests is not taken for silent")
+{
+    auto rig = makeRig();
+    std::vector<std::uint64_t> asked;
+    for (int i = 0; i < 4; ++i)
+        asked.push_back(ask(rig, "/write/x"));
+    const auto wake = find<wake_request>(rig)->at;
+    rig.now = wake - milliseconds(1);
+    ask(rig, "/write/x");
+    const auto sent = *find<send_attempt>(rig);
+    feed(rig, ended(sent, dispatch_outcome::Whole, 200));
+    rig.now = wake;
+    for (const auto id : asked) {
+        feed(rig, request_woken { id });
+        CHECK_FALSE(find<drop_connections>(rig));
+    }
+}
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -24,20 +24,19 @@
     std::vector<std::shared_ptr<platform::endpoint_standin>> endpoints; ///< Endpoints.
     std::vector<std::unique_ptr<tcp::acceptor>> endpointAcceptors; ///< Their ports.
     std::unique_ptr<gate_shell> gate; ///< Under test.
+    std::uint16_t gossipPort = 0; ///< The same for all VMs.
+    std::uint16_t peerPort = 0; ///< The same for all VMs.
 
     serve_rig()
         : storeAcceptor(std::move(*listenAt(context.get_executor(), "127.0.0.1:0")))
     {
+        const asio::ip::udp::socket gossip(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        gossipPort = gossip.local_endpoint().port();
+        const tcp::acceptor peers(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        peerPort = peers.local_endpoint().port();
     }
 };
 
-/** A UDP port that nobody uses now. */
-static std::uint16_t freeUdpPort(asio::io_context& context)
-{
-    asio::ip::udp::socket socket(context, asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return socket.local_endpoint().port();
-}
-
 static void addEndpoint(serve_rig& rig, const std::string& id)
 {
     auto endpoint = std::make_shared<platform::endpoint_standin>();
@@ -56,6 +55,33 @@
         rig.context.run_one();
 }
 
+/** Settings of a VM at an IP of its own. */
+static gate_settings settingsAt(const serve_rig& rig, const std::string& ip, const std::string& vm)
+{
+    gate_settings settings;
+    settings.vm = vm;
+    settings.ip = ip;
+    settings.zone = "a1";
+    settings.region = "a";
+    settings.regionOfZone = { { "a1", "a" } };
+    settings.callers = settings.ready = settings.lookups = ip + ":0";
+    settings.peers = ip + ":" + std::to_string(rig.peerPort);
+    settings.gossipPort = rig.gossipPort;
+    settings.store = addressText(rig.storeAcceptor.local_endpoint());
+    return settings;
+}
+
+static std::unique_ptr<gate_shell> startGate(serve_rig& rig, const gate_settings& settings)
+{
+    auto gate = std::make_unique<gate_shell>(rig.context, rig.clock, settings, "", makeGate(identityOf(settings), 1));
+    gate->store = std::move(*platform::makeObjectStore(rig.context.get_executor(), settings.store, milliseconds(500), gate->storeCalls));
+    REQUIRE(startServers(*gate));
+    startWatches(*gate);
+    startGossip(*gate);
+    asio::co_spawn(rig.context, followPeers(*gate), asio::detached);
+    return gate;
+}
+
 static std::unique_ptr<serve_rig> makeRig(std::size_t endpoints)
 {
     auto rig = std::make_unique<serve_rig>();
@@ -63,20 +89,8 @@
     putObject(*rig->store, "config", "main", boost::json::parse(RouteTable));
     for (std::size_t i = 0; i < endpoints; ++i)
         addEndpoint(*rig, "e" + std::to_string(i));
-    gate_settings settings;
-    settings.vm = "vm1";
-    settings.ip = "127.0.0.1";
-    settings.zone = "a1";
-    settings.region = "a";
-    settings.regionOfZone = { { "a1", "a" } };
-    settings.callers = settings.ready = settings.lookups = settings.peers = "127.0.0.1:0";
-    settings.gossipPort = freeUdpPort(rig->context);
-    settings.store = addressText(rig->storeAcceptor.local_endpoint());
-    rig->gate = std::make_unique<gate_shell>(rig->context, rig->clock, settings, "", makeGate(identityOf(settings), 1));
-    rig->gate->store = std::move(*platform::makeObjectStore(rig->context.get_executor(), settings.store, milliseconds(500), rig->gate->storeCalls));
-    REQUIRE(startServers(*rig->gate));
-    startWatches(*rig->gate);
-    startGossip(*rig->gate);
+    auto settings = settingsAt(*rig, "127.0.0.1", "vm1");
+    rig->gate = startGate(*rig, settings);
     runUntil(*rig, [&] { return isReady(rig->gate->state) && rig->gate->state.endpoints.size() == endpoints; });
     return rig;
 }
@@ -382,6 +396,25 @@
     CHECK(rig->gate->state.endpoints.count("e1") == 1);
 }
 
+TEST_CASE("serve: a VM that the store does not answer learns from another, through a seed")
+{
+    auto rig = makeRig(2);
+    auto settings = settingsAt(*rig, "127.0.0.2", "vm2");
+    auto nobody = std::move(*listenAt(rig->context.get_executor(), "127.0.0.1:0"));
+    settings.store = addressText(nobody.local_endpoint());
+    nobody.close();
+    settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
+    const auto cut = startGate(*rig, settings);
+    runUntil(*rig, [&] { return isReady(cut->state) && cut->state.endpoints.size() == 2; });
+    putObject(*rig->store, "evacuations", "a1", boost::json::object());
+    runUntil(*rig, [&] { return cut->state.evacuated.count("a1") == 1; });
+    removeObject(*rig->store, "evacuations", "a1");
+    removeObject(*rig->store, "servers", "e0");
+    runUntil(*rig, [&] { return cut->state.evacuated.empty() && cut->state.endpoints.size() == 1; });
+    CHECK(cut->counters.relays >= 3);
+    CHECK(cut->storeCalls.failures > 0);
+}
+
 TEST_CASE("serve: a graceful stop says no at once, answers what it has and closes kept connections with their last answer")
 {
     auto rig = makeRig(1);
