--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -9,12 +9,10 @@
 /** Pause between two tries to register. */
 static constexpr milliseconds RegisterPause { 500 };
 /** Largest datagram: claims of gossip_limits::claimsPerMessage members. */
-static constexpr std::size_t LargestDatagram = 16 * 1024;
+static constexpr std::size_t LargestDatagram = 16'384;
 
 using udp = asio::ip::udp;
 
-static void callStoreOnce(gate_shell& shell, store_request request, store_callback done) { shell.store->call(request, std::move(done)); }
-
 static void listMembers(gate_shell& shell);
 
 static void retryLater(gate_shell& shell, void (*step)(gate_shell&))
@@ -34,7 +32,7 @@
     request.key = std::string(platform::MemberPrefix) + shell.settings.vm;
     request.value = platform::encodeMember(shell.state.members.members.at(shell.settings.vm).claim);
     request.expected = present;
-    callStoreOnce(shell, request, [&shell](const store_reply& reply) {
+    shell.store->call(request, [&shell](const store_reply& reply) {
         if (reply.result == store_result::Done) {
             writeLine("registered", { { "vm", shell.settings.vm }, { "revision", std::to_string(reply.object.version) } }, shell.clock.now());
             listMembers(shell);
@@ -55,7 +53,7 @@
     store_request request;
     request.operation = store_operation::Watch;
     request.key = platform::MemberPrefix;
-    callStoreOnce(shell, request, [&shell](const store_reply& reply) {
+    shell.store->call(request, [&shell](const store_reply& reply) {
         if (reply.result != store_result::Done) {
             writeLine("members_unread", { { "reason", reply.reason } }, shell.clock.now());
             retryLater(shell, listMembers);
--- a/src/serve/serve_relay.cpp
+++ b/src/serve/serve_relay.cpp
@@ -10,7 +10,7 @@
 /** Between two comparisons with what other VMs know. */
 static constexpr milliseconds FollowPause { 250 };
 /** Time that the store's own watch has to bring what others know already: its pause for gathering and a call. */
-static constexpr milliseconds WatchGrace { 400 };
+static constexpr milliseconds WatchGrace { 900 };
 /** Longest time of a call to another VM. */
 static constexpr milliseconds PeerCallTime { 700 };
 /** VMs asked at most in one round. */
@@ -58,6 +58,7 @@
     }
     std::sort(found.rbegin(), found.rend());
     std::vector<std::string> result;
+    result.reserve(found.size());
     for (const auto& [revision, ip] : found)
         result.push_back(ip);
     return result;
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -15,9 +15,9 @@
 using error_code = boost::system::error_code;
 
 /** Answers up to this size are read whole before the first byte goes to the caller, so that a broken one can be retried. */
-inline constexpr std::size_t WholeAnswerBytes = 64 * 1024;
+inline constexpr std::size_t WholeAnswerBytes = 65'536;
 /** Bytes relayed at a time above that. */
-inline constexpr std::size_t RelayBytes = 16 * 1024;
+inline constexpr std::size_t RelayBytes = 16'384;
 
 /** A kept connection to an endpoint. */
 struct endpoint_connection {
--- a/src/serve/serve_watch.cpp
+++ b/src/serve/serve_watch.cpp
@@ -7,8 +7,9 @@
 
 /** Longest wait of a watch; a waiting call costs as much as any other. */
 static constexpr milliseconds WatchWait { 25'000 };
-/** Pause after news, so that changes in quick succession come with one call. */
-static constexpr milliseconds GatherPause { 200 };
+/** Pause after news, so that changes in quick succession come with one call; a fifth of the time in which a change must
+ *  be in force. */
+static constexpr milliseconds GatherPause { 500 };
 /** Pauses after a failed call, doubled up to the second. */
 static constexpr milliseconds FirstRetryPause { 100 };
 static constexpr milliseconds LongestRetryPause { 1000 };
@@ -168,7 +169,7 @@
 /** Starts the loop of one kind. */
 static std::shared_ptr<watched_kind> startKind(gate_shell& shell, std::size_t index, std::string_view prefix)
 {
-    const auto kind = std::make_shared<watched_kind>();
+    auto kind = std::make_shared<watched_kind>();
     kind->prefix = prefix;
     kind->index = index;
     kind->onObject = [](const keyed_object&) {};
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -408,6 +408,7 @@
 {
     auto rig = makeRig();
     std::vector<std::uint64_t> asked;
+    asked.reserve(4);
     for (int i = 0; i < 4; ++i)
         asked.push_back(ask(rig, "/write/x"));
     const auto wake = find<wake_request>(rig)->at;
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -49,6 +49,7 @@
         return ids;
     }();
     std::vector<place_candidate> result;
+    result.reserve(Ids.size());
     for (const auto& id : Ids)
         result.push_back({ id, std::string_view(id).substr(0, 1), 3, 0, 1, true, false });
     return result;
