--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -125,6 +125,23 @@
     }
 }
 
+bool isHopByHop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
 http_response makeAnswer(http::status status, std::string body, std::string_view contentType)
 {
     http_response response(status, 11);
--- a/src/net/http_func.h
+++ b/src/net/http_func.h
@@ -30,6 +30,9 @@
 /** Accepts connections and answers requests until the acceptor is closed. */
 asio::awaitable<void> serveHttp(tcp::acceptor& acceptor, http_handler handler, http_limits limits);
 
+/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). Thread safe. */
+bool isHopByHop(http::field name);
+
 /** An answer with a body. Thread safe. */
 http_response makeAnswer(http::status status, std::string body, std::string_view contentType = "application/json");
 
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -86,24 +86,6 @@
     co_return connection;
 }
 
-/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). */
-bool isHopByHop(http::field name)
-{
-    switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::expect:
-        return true;
-    default:
-        return false;
-    }
-}
-
 /** The request as it goes to the endpoint. */
 static http::request<http::string_body> makeRequest(const gate_exchange& exchange, const gate_attempt& attempt, time_point now)
 {
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -28,9 +28,6 @@
 /** Closes kept connections that are about to be closed by the endpoint. */
 void sweepIdle(gate_shell& shell);
 
-/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). Thread safe. */
-bool isHopByHop(http::field name);
-
 /** Starts a server of small messages at @p address. Fails with the reason. */
 outcome<bool> startServer(gate_shell& shell, std::optional<tcp::acceptor>& acceptor, const std::string& address, http_handler handler);
 
--- a/src/shell/forward.cpp
+++ b/src/shell/forward.cpp
@@ -86,24 +86,6 @@
     co_return !error;
 }
 
-/** Whether a header field belongs to one connection only (RFC 9110, section 7.6.1). */
-static bool isHopByHop(http::field name)
-{
-    switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::expect:
-        return true;
-    default:
-        return false;
-    }
-}
-
 /** The request as it goes upstream. */
 static http::request<http::buffer_body> makeUpstreamRequest(const forwarding& run)
 {
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -117,7 +117,7 @@
     }
 }
 
-static store_reply decodeReply(const store_request& request, const http_reply& answer)
+store_reply replyOf(const http_reply& answer, store_result (*resultOf)(http::status))
 {
     store_reply reply;
     reply.reason = answer.reason;
@@ -128,6 +128,14 @@
     reply.result = resultOf(answer.response.result());
     if (reply.result != store_result::Done)
         reply.reason = "store answered " + std::to_string(answer.response.result_int());
+    return reply;
+}
+
+static store_reply decodeReply(const store_request& request, const http_reply& answer)
+{
+    auto reply = replyOf(answer, resultOf);
+    if (answer.result != http_result::Answered)
+        return reply;
     reply.object.version = versionOf(answer.response);
     reply.object.value = answer.response.body();
     if (request.operation != store_operation::Watch || reply.result != store_result::Done)
