--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -3,6 +3,7 @@
 
 #include "core/hash.h"
 #include "gossip/gossip_func.h"
+#include "lookup/lookup_func.h"
 #include <algorithm>
 
 namespace lhub {
@@ -18,7 +19,8 @@
 {
     gate_state gate;
     gate.members.self = self.vm;
-    gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false, {} }, {} };
+    gate.members.regionOfZone = self.regionOfZone;
+    gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false, carriedBy(self.size), {} }, {} };
     gate.self = std::move(self);
     return gate;
 }
--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -103,6 +103,10 @@
         removeEndpoint(gate, attempt.endpoint, effects);
         return;
     }
+    if (event.forgotten) { // A connection that rested, not the endpoint, is to blame; others that rest there may be gone too.
+        effects.push_back(drop_connections { endpoint.entry.address });
+        return;
+    }
     if (!full)
         signalEndpoint(endpoint, signalOf(event), event.reason, now, effects);
 }
--- a/src/gate/gate_event.h
+++ b/src/gate/gate_event.h
@@ -53,6 +53,7 @@
     double waiting = 0; ///< Requests waiting there.
     double slots = 0; ///< Its slots.
     milliseconds coldLeft { 0 }; ///< How much longer it is cold, when it said so.
+    bool forgotten = false; ///< It was sent on a kept connection that turned out to be gone; not a byte came back.
     std::string reason; ///< For people.
 };
 
@@ -81,6 +82,8 @@
     std::string address; ///< Where it listens.
     time_point deadline {}; ///< What is left of the time is passed on.
     milliseconds connectTime { 0 }; ///< Longest time to connect.
+    milliseconds roundTrip { 0 }; ///< Usual round trip to the endpoint.
+    bool repeatable = false; ///< Whether the request may run more than once.
 };
 
 /** Relay the answer of an attempt. */
--- a/src/gate/gate_place.cpp
+++ b/src/gate/gate_place.cpp
@@ -48,6 +48,13 @@
         [&](const attempt_state& attempt) { return attempt.endpoint == endpoint; });
 }
 
+/** Whether all attempts there ended on kept connections that were gone, so that nothing is known against it. */
+static bool wasForgotten(const gate_request& request, const std::string& endpoint)
+{
+    return std::all_of(request.attempts.begin(), request.attempts.end(),
+        [&](const attempt_state& attempt) { return attempt.endpoint != endpoint || attempt.forgotten; });
+}
+
 /** Whether an endpoint may get a request now, for all that this VM knows. */
 static bool isUsable(gate_state& gate, endpoint_state& endpoint, time_point now)
 {
@@ -85,6 +92,11 @@
         if (isEjected(endpoint.health, now) && !wasTried(request, endpoint.entry.id))
             list.candidates[i].usable = !isCold(gate, endpoint, now) || isUsable(gate, endpoint, now);
     }
+    const bool none = std::none_of(list.candidates.begin(), list.candidates.end(), [](const auto& candidate) { return candidate.usable; });
+    for (std::size_t i = 0; none && i < list.candidates.size(); ++i) {
+        auto& endpoint = *list.endpoints[i];
+        list.candidates[i].usable = wasTried(request, endpoint.entry.id) && wasForgotten(request, endpoint.entry.id) && isUsable(gate, endpoint, now);
+    }
     return list;
 }
 
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -105,7 +105,8 @@
             { "left_ms", std::to_string(elapsed(now, request.deadline).count()) },
             { "config", std::to_string(gate.configRevision) } } });
     effects.push_back(send_attempt { id, attempt.id, endpoint.entry.id, endpoint.entry.address, request.deadline,
-        connectTimeTo(gate, endpoint.region) });
+        connectTimeTo(gate, endpoint.region),
+        milliseconds(endpoint.region == gate.self.region ? 0 : static_cast<int>(FarMs)), request.rules->repeatable });
     effects.push_back(wake_request { id, std::min(overdueAt(gate, request, attempt), request.deadline) });
 }
 
@@ -194,6 +195,7 @@
     if (at == request.attempts.end() || !at->open)
         return;
     at->open = false;
+    at->forgotten = event.forgotten;
     if (event.outcome == dispatch_outcome::ConnectFailed)
         --request.reached;
     noteEndpoint(gate, request, *at, event, now, effects);
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -5,6 +5,7 @@
 #include "gossip/gossip_type.h"
 #include "health/health_type.h"
 #include "limit/limit_type.h"
+#include "lookup/lookup_type.h"
 #include "place/place_type.h"
 #include "route/route_func.h"
 #include <deque>
@@ -55,6 +56,7 @@
     bool warm = false; ///< The object was expected to be warm there.
     bool open = true; ///< Its end has not been seen yet.
     bool overdue = false; ///< Its lateness was taken into account.
+    bool forgotten = false; ///< Its connection was gone; says nothing about the endpoint.
 };
 
 /** An open request. */
@@ -80,6 +82,7 @@
     std::string zone; ///< Own zone.
     std::string region; ///< Own region.
     std::map<std::string, std::string> regionOfZone; ///< All zones.
+    vm_size size; ///< What it has to carry requests with.
     retry_bounds retries; ///< Over all VMs together.
     double coldOverage = 1; ///< Factor on a service's requests a second for a cold endpoint, over all VMs together.
     double coldSlack = 0; ///< Requests on top, in each second.
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -7,7 +7,7 @@
 
 namespace lhub {
 
-static constexpr std::size_t FixedCells = 6; ///< Cells of a row before the revisions.
+static constexpr std::size_t FixedCells = 7; ///< Cells of a row before the revisions.
 static constexpr std::uint64_t RetryDeadEvery = 4; ///< Rounds between two messages to a dead member.
 
 void mergeClaims(member_table& table, const std::vector<member_claim>& claims, std::string_view from, time_point now)
@@ -28,11 +28,25 @@
     }
 }
 
+/** Region of a zone; a zone that is in none stands for itself. */
+static const std::string& regionOf(const member_table& table, const std::string& zone)
+{
+    const auto found = table.regionOfZone.find(zone);
+    return found == table.regionOfZone.end() ? zone : found->second;
+}
+
+/** Whether the member stands in another region than this VM. */
+static bool isFar(const member_table& table, const gossip_member& member)
+{
+    return regionOf(table, member.claim.zone) != regionOf(table, table.members.at(table.self).claim.zone);
+}
+
 bool isAlive(const member_table& table, const gossip_member& member, const gossip_limits& limits, time_point now)
 {
     if (member.claim.vm == table.self)
         return true;
-    return member.heard != time_point {} && now - member.heard < limits.deadAfter;
+    const auto bound = isFar(table, member) ? limits.farDeadAfter : limits.deadAfter;
+    return member.heard != time_point {} && now - member.heard < bound;
 }
 
 std::vector<const member_claim*> aliveMembers(const member_table& table, const gossip_limits& limits, time_point now)
@@ -45,50 +59,72 @@
     return result;
 }
 
-std::vector<std::string> gossipTargets(member_table& table, const gossip_limits& limits, time_point now)
+/** Members in an order that differs from round to round and from VM to VM. */
+using member_draws = std::vector<std::pair<std::uint64_t, const member_claim*>>;
+
+/** Sorts the members into alive ones of the own region, alive ones of others, and dead ones. */
+struct drawn_members {
+    member_draws near; ///< Alive, of the own region.
+    member_draws far; ///< Alive, of another region.
+    member_draws dead; ///< Not heard of.
+};
+
+static drawn_members drawMembers(const member_table& table, const gossip_limits& limits, std::uint64_t turn, time_point now)
 {
-    ++table.round;
-    std::vector<std::pair<std::uint64_t, const member_claim*>> alive;
-    std::vector<std::pair<std::uint64_t, const member_claim*>> dead;
+    drawn_members drawn;
     for (const auto& [name, member] : table.members) {
         if (name == table.self)
             continue;
-        const auto draw = stableHash(name, stableHash(table.self, table.round));
-        (isAlive(table, member, limits, now) ? alive : dead).emplace_back(draw, &member.claim);
+        const bool alive = isAlive(table, member, limits, now);
+        auto& list = !alive ? drawn.dead : (isFar(table, member) ? drawn.far : drawn.near);
+        list.emplace_back(stableHash(name, stableHash(table.self, turn)), &member.claim);
     }
-    std::sort(alive.begin(), alive.end());
-    std::sort(dead.begin(), dead.end());
-    std::vector<std::string> result;
-    for (std::size_t i = 0; i < alive.size() && i < limits.fanout; ++i)
-        result.push_back(alive[i].second->ip);
-    const bool retryDead = alive.size() < limits.fanout || table.round % RetryDeadEvery == 0;
-    for (std::size_t i = 0; retryDead && i < dead.size() && i < limits.fanout; ++i)
-        result.push_back(dead[i].second->ip);
+    for (auto* list : { &drawn.near, &drawn.far, &drawn.dead })
+        std::sort(list->begin(), list->end());
+    return drawn;
+}
+
+gossip_targets gossipTargets(member_table& table, const gossip_limits& limits, time_point now)
+{
+    ++table.round;
+    const auto drawn = drawMembers(table, limits, table.round, now);
+    gossip_targets result;
+    for (std::size_t i = 0; i < drawn.near.size() && i < limits.fanout; ++i)
+        result.near.push_back(drawn.near[i].second->ip);
+    const bool lonely = drawn.near.size() < limits.fanout;
+    if (!drawn.far.empty() && (lonely || table.round % limits.farEvery == 0))
+        result.far.push_back(drawn.far.front().second->ip);
+    const bool retryDead = drawn.near.size() + drawn.far.size() < limits.fanout || table.round % RetryDeadEvery == 0;
+    for (std::size_t i = 0; retryDead && i < drawn.dead.size() && i < limits.fanout; ++i)
+        result.far.push_back(drawn.dead[i].second->ip);
     return result;
 }
 
-std::vector<member_claim> claimsToSend(member_table& table, const gossip_limits& limits, time_point now)
+/** Appends up to @p most of the claims, never more than fit into a message. */
+static void appendClaims(std::vector<member_claim>& claims, const member_draws& from, std::size_t most, const gossip_limits& limits)
+{
+    for (std::size_t i = 0; i < from.size() && i < most && claims.size() < limits.claimsPerMessage; ++i)
+        claims.push_back(*from[i].second);
+}
+
+gossip_messages claimsToSend(member_table& table, const gossip_limits& limits, time_point now)
 {
-    std::vector<member_claim> result;
     auto& self = table.members[table.self].claim;
     ++self.beat;
-    result.push_back(self);
-    std::vector<std::pair<std::uint64_t, const member_claim*>> others;
-    for (const auto& [name, member] : table.members) {
-        if (name != table.self && isAlive(table, member, limits, now))
-            others.emplace_back(stableHash(name, self.beat), &member.claim);
-    }
-    std::sort(others.begin(), others.end());
-    for (std::size_t i = 0; i < others.size() && result.size() < limits.claimsPerMessage; ++i)
-        result.push_back(*others[i].second);
-    return result;
+    const auto drawn = drawMembers(table, limits, self.beat, now);
+    gossip_messages messages { { self }, { self } };
+    appendClaims(messages.near, drawn.far, limits.farClaims, limits);
+    appendClaims(messages.near, drawn.near, limits.claimsPerMessage, limits);
+    appendClaims(messages.far, drawn.near, limits.farClaims, limits);
+    appendClaims(messages.far, drawn.far, limits.farClaims, limits);
+    return messages;
 }
 
 std::string encodeClaims(const std::vector<member_claim>& claims)
 {
     json::array rows;
     for (const auto& claim : claims) {
-        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving };
+        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving, claim.carries };
         for (const auto revision : claim.known)
             row.emplace_back(revision);
         rows.push_back(std::move(row));
@@ -113,10 +149,13 @@
         if (error)
             return {};
         const auto beat = cells[4].to_number<std::uint64_t>(error);
+        if (error)
+            return {};
+        const auto carries = cells[6].to_number<std::uint32_t>(error);
         if (error)
             return {};
         member_claim claim { std::string(cells[0].get_string()), std::string(cells[1].get_string()),
-            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), {} };
+            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), carries, {} };
         for (std::size_t kind = 0; kind < RelayedKinds; ++kind) {
             claim.known[kind] = cells[FixedCells + kind].to_number<std::uint64_t>(error);
             if (error)
@@ -127,26 +166,4 @@
     return result;
 }
 
-std::vector<std::string> membersFor(const member_table& table, std::string_view region, const std::vector<std::string>& homes,
-    const std::map<std::string, std::string>& regionOfZone, const gossip_limits& limits, time_point now)
-{
-    std::vector<std::string> local;
-    std::vector<std::string> atHome;
-    std::vector<std::string> all;
-    for (const auto* member : aliveMembers(table, limits, now)) {
-        if (!member->serving)
-            continue;
-        const auto zone = regionOfZone.find(member->zone);
-        const std::string_view where = zone == regionOfZone.end() ? std::string_view() : zone->second;
-        all.push_back(member->ip);
-        if (where == region)
-            local.push_back(member->ip);
-        if (std::find(homes.begin(), homes.end(), where) != homes.end())
-            atHome.push_back(member->ip);
-    }
-    if (!local.empty())
-        return local;
-    return atHome.empty() ? all : atHome;
-}
-
 } // namespace lhub
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -21,21 +21,13 @@
 std::vector<const member_claim*> aliveMembers(const member_table& table, const gossip_limits& limits, time_point now);
 
 /** The IPs to tell in this round; dead members are tried now and then, so that a healed cut is noticed. */
-std::vector<std::string> gossipTargets(member_table& table, const gossip_limits& limits, time_point now);
+gossip_targets gossipTargets(member_table& table, const gossip_limits& limits, time_point now);
 
-/** The claims of the next message, own claim first. Not thread safe: turns through the members. */
-std::vector<member_claim> claimsToSend(member_table& table, const gossip_limits& limits, time_point now);
+/** The claims of the next round. Not thread safe: turns through the members. */
+gossip_messages claimsToSend(member_table& table, const gossip_limits& limits, time_point now);
 
 /** A message as bytes, and back; malformed messages give no claims. Thread safe. */
 std::string encodeClaims(const std::vector<member_claim>& claims);
 std::vector<member_claim> decodeClaims(std::string_view message);
 
-/**
- * The serving members that a caller in @p region should use: those of its region, or all when it has none.
- * @param homes regions that may serve the caller's host; preferred to the rest when its own region has nobody.
- * Thread safe on const objects.
- */
-std::vector<std::string> membersFor(const member_table& table, std::string_view region, const std::vector<std::string>& homes,
-    const std::map<std::string, std::string>& regionOfZone, const gossip_limits& limits, time_point now);
-
 } // namespace lhub
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace lhub {
 
@@ -23,6 +24,7 @@
     std::uint64_t incarnation = 0; ///< Differs between two starts; mostly rises.
     std::uint64_t beat = 0; ///< Rises with every round of its own.
     bool serving = false; ///< Callers may be sent to it.
+    std::uint32_t carries = 1; ///< Requests a second that it can carry.
     known_revisions known; ///< What it knows of the store.
 };
 
@@ -37,14 +39,30 @@
     std::string self; ///< Own identity.
     std::map<std::string, gossip_member> members; ///< By identity.
     std::uint64_t round = 0; ///< Rounds so far; turns the choice of targets.
+    std::map<std::string, std::string> regionOfZone; ///< All zones; an unknown one is a region of its own.
+};
+
+/** IPs to tell in one round. */
+struct gossip_targets {
+    std::vector<std::string> near; ///< Of the own region.
+    std::vector<std::string> far; ///< Of other regions, and members that may have come back.
+};
+
+/** Messages of one round; the own claim comes first. */
+struct gossip_messages {
+    std::vector<member_claim> near; ///< For the own region: all of it, and some of the others.
+    std::vector<member_claim> far; ///< For other regions: some of the own region and some of the others.
 };
 
 /** Settings of gossip. */
 struct gossip_limits {
     milliseconds interval { 500 }; ///< Between two rounds.
-    std::uint32_t fanout = 3; ///< Members told in each round; a rumour reaches N members in log(N) rounds.
-    std::uint32_t claimsPerMessage = 40; ///< Claims in one message; keeps it within a few kilobytes.
+    std::uint32_t fanout = 3; ///< Members of the own region told in each round; a rumour reaches N members in log(N) rounds.
+    std::uint32_t farEvery = 2; ///< Rounds between two messages to one member of another region: bytes between regions are dear.
+    std::uint32_t claimsPerMessage = 128; ///< Claims in one message at most; about ten kilobytes.
+    std::uint32_t farClaims = 8; ///< Claims of other regions among them; a message to another region has as many of the own one, and no more.
     milliseconds deadAfter { 3500 }; ///< Silence after which a member counts as dead: seven rounds, for links that lose a fifth.
+    milliseconds farDeadAfter { 8000 }; ///< The same for members of other regions: their claims come a fifth as often.
 };
 
 } // namespace lhub
--- a/src/limit/limit.cpp
+++ b/src/limit/limit.cpp
@@ -8,6 +8,15 @@
 /** Part of the allowed ratio that is used: windows of the VMs are not aligned. */
 static constexpr double RatioUsed = 0.75;
 
+/** Descriptors for files, timers, listeners, the store and other VMs. */
+static constexpr std::uint32_t ReservedDescriptors = 240;
+/** Eighths of the other descriptors, by use; requests get two of the connections to endpoints each. */
+static constexpr std::uint32_t CallerEighths = 3;
+static constexpr std::uint32_t IdleEighths = 1;
+static constexpr std::uint32_t RequestEighths = 2;
+/** Part of the memory that bodies of requests may take: they are copied once on their way. */
+static constexpr std::uint64_t BodyDivisor = 8;
+
 static std::int64_t secondOf(time_point at)
 {
     return std::chrono::duration_cast<seconds>(at.time_since_epoch()).count();
@@ -45,6 +54,13 @@
     return extras + 1 <= allowed;
 }
 
+serve_room roomFor(std::uint32_t descriptors, std::uint32_t memoryMb)
+{
+    const std::size_t eighth = (std::max(descriptors, 2 * ReservedDescriptors) - ReservedDescriptors) / 8;
+    static constexpr std::uint64_t Megabyte = 1'048'576;
+    return { CallerEighths * eighth, IdleEighths * eighth, RequestEighths * eighth, memoryMb * Megabyte / BodyDivisor };
+}
+
 bool mayWarm(cold_limit& limit, double perSecond, time_point now)
 {
     while (!limit.sent.empty() && now - limit.sent.front() >= seconds(1))
--- a/src/limit/limit_func.h
+++ b/src/limit/limit_func.h
@@ -21,4 +21,7 @@
 /** Whether one more request may go to a cold endpoint: fewer than @p perSecond in the last second. */
 bool mayWarm(cold_limit& limit, double perSecond, time_point now);
 
+/** Divides descriptors and memory. All parts together stay within both, whatever callers do. Thread safe. */
+serve_room roomFor(std::uint32_t descriptors, std::uint32_t memoryMb);
+
 } // namespace lhub
--- a/src/limit/limit_type.h
+++ b/src/limit/limit_type.h
@@ -33,4 +33,12 @@
     std::deque<time_point> sent; ///< Oldest first.
 };
 
+/** What one VM may have open at the same time. */
+struct serve_room {
+    std::size_t callers = 0; ///< Connections of callers.
+    std::size_t idleConnections = 0; ///< Kept connections to endpoints.
+    std::size_t requests = 0; ///< Requests in progress; each needs a connection to an endpoint, or two.
+    std::uint64_t bodyBytes = 0; ///< Bodies of requests, held or being read.
+};
+
 } // namespace lhub
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -1,5 +1,6 @@
 /** @file serve_attempt.cpp One attempt at an endpoint: connect, send, read and check the answer. */
 #include "net/http_func.h"
+#include "reuse/reuse_func.h"
 #include "serve/serve_func.h"
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,11 +13,10 @@
 static constexpr milliseconds KeepAliveMargin { 1500 };
 /** Used when the endpoint announces nothing. */
 static constexpr milliseconds DefaultKeepAlive { 3000 };
-/** Requests that may run only once use connections no older than this: on a connection that the endpoint has just closed
- *  they would end as "may have run". */
-static constexpr milliseconds OnceReuseAge { 1000 };
 /** Unacknowledged data ends a connection after this; a few retransmissions. */
 static constexpr int UserTimeoutMs = 3000;
+/** Added to a round trip: queues on the links. */
+static constexpr milliseconds RoundTripJitter { 15 };
 /** Idle connections kept for one endpoint. */
 static constexpr std::size_t MostIdlePerAddress = 8;
 
@@ -28,7 +28,7 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-static std::unique_ptr<endpoint_connection> takeIdle(gate_shell& shell, const std::string& address, milliseconds maxAge)
+static std::shared_ptr<endpoint_connection> takeIdle(gate_shell& shell, const std::string& address, milliseconds longest)
 {
     const auto found = shell.idle.find(address);
     if (found == shell.idle.end())
@@ -38,17 +38,17 @@
     while (!kept.empty()) {
         auto connection = std::move(kept.back());
         kept.pop_back();
-        if (now >= connection->keepUntil || !isQuiet(*connection))
+        --shell.idleCount;
+        const auto rested = elapsed(connection->idleSince, now);
+        if (now >= connection->keepUntil || rested > longest || !isQuiet(*connection))
             continue;
-        if (elapsed(connection->idleSince, now) > maxAge)
-            return nullptr;
-        connection->fresh = false;
+        connection->rested = rested;
         return connection;
     }
     return nullptr;
 }
 
-static asio::awaitable<std::unique_ptr<endpoint_connection>> connectTo(
+static asio::awaitable<std::shared_ptr<endpoint_connection>> connectTo(
     gate_shell& shell, gate_attempt& attempt, std::string& reason)
 {
     const auto endpoint = parseAddress(attempt.command.address);
@@ -81,7 +81,7 @@
     auto socket = std::move(state->socket);
     socket.set_option(tcp::no_delay(true), error);
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
-    auto connection = std::make_unique<endpoint_connection>(std::move(socket));
+    auto connection = std::make_shared<endpoint_connection>(std::move(socket));
     connection->address = attempt.command.address;
     co_return connection;
 }
@@ -201,6 +201,15 @@
     co_return dispatch_outcome::Whole;
 }
 
+/** Whether the endpoint did not know the kept connection any more: not a byte came back, and its end within a round trip. */
+static bool isForgotten(const gate_attempt& attempt, time_point now)
+{
+    if (elapsed(attempt.startedAt, now) > attempt.command.roundTrip + RoundTripJitter)
+        return false;
+    const bool silent = attempt.parser && !attempt.parser->got_some() && attempt.connection && attempt.connection->buffer.size() == 0;
+    return silent && attempt.connection->rested;
+}
+
 static void report(gate_shell& shell, gate_attempt& attempt, dispatch_outcome ended, std::string reason)
 {
     attempt.reported = true;
@@ -216,10 +225,37 @@
     event.waiting = attempt.facts.waiting;
     event.slots = attempt.facts.slots;
     event.coldLeft = attempt.facts.coldLeft;
+    event.forgotten = event.outcome == dispatch_outcome::Lost && isForgotten(attempt, shell.clock.now());
+    if (event.forgotten) {
+        ++shell.counters.forgotten;
+        noteForgotten(shell.reuse, attempt.command.address, *attempt.connection->rested, shell.clock.now());
+    }
+    if (event.status != 0)
+        noteAlive(shell.reuse, attempt.command.address, shell.clock.now());
     event.reason = std::move(reason);
     feedGate(shell, std::move(event));
 }
 
+/** Closes the connection of an attempt, also for the writer of its request. */
+static void closeConnection(gate_attempt& attempt)
+{
+    if (!attempt.connection)
+        return;
+    error_code ignored; // Closing ends what is still read and written.
+    attempt.connection->socket.close(ignored);
+    attempt.connection.reset();
+}
+
+/** Writes the request while its answer is awaited: an endpoint may answer before it has read a long body. */
+static asio::awaitable<void> writeRequest(
+    std::shared_ptr<gate_attempt> attempt, std::shared_ptr<endpoint_connection> connection, http::request<http::string_body> request)
+{
+    error_code error;
+    co_await http::async_write(connection->socket, request, asio::redirect_error(asio::use_awaitable, error));
+    // A failed write shows in the answer's read as well.
+    attempt->written = !error;
+}
+
 asio::awaitable<void> runAttempt(gate_shell& shell, std::shared_ptr<gate_attempt> attempt)
 {
     const auto exchange = attempt->exchange.lock();
@@ -227,8 +263,7 @@
         report(shell, *attempt, dispatch_outcome::ConnectFailed, "not sent");
         co_return;
     }
-    const bool repeatable = exchange->request.method() == http::verb::get || exchange->request.method() == http::verb::head;
-    attempt->connection = takeIdle(shell, attempt->command.address, repeatable ? milliseconds::max() : OnceReuseAge);
+    attempt->connection = takeIdle(shell, attempt->command.address, longestRest(shell.reuse, attempt->command.repeatable, shell.clock.now()));
     std::string reason;
     if (!attempt->connection) {
         auto connection = co_await connectTo(shell, *attempt, reason);
@@ -238,22 +273,15 @@
         }
         attempt->connection = std::move(connection);
     }
-    const auto request = makeRequest(*exchange, *attempt, shell.clock.now());
-    error_code error;
-    co_await http::async_write(attempt->connection->socket, request, asio::redirect_error(asio::use_awaitable, error));
-    // A failed write says little: the endpoint may have answered before it has read a long body.
+    attempt->startedAt = shell.clock.now();
+    asio::co_spawn(shell.context, writeRequest(attempt, attempt->connection, makeRequest(*exchange, *attempt, shell.clock.now())), asio::detached);
     const auto ended = co_await readAnswer(*attempt, *exchange, reason);
-    if (error && ended == dispatch_outcome::Lost)
-        reason = "send: " + error.message();
+    report(shell, *attempt, ended, std::move(reason));
     const bool whole = attempt->parser && attempt->parser->is_done();
-    if (whole && !error && !attempt->cancelled)
+    if (whole && !attempt->cancelled)
         releaseConnection(shell, *attempt);
-    else if (ended != dispatch_outcome::Whole || error)
-        attempt->connection.reset();
-    if (ended == dispatch_outcome::Whole && !whole && error)
-        report(shell, *attempt, dispatch_outcome::Cut, "send: " + error.message());
-    else
-        report(shell, *attempt, ended, std::move(reason));
+    else if (ended != dispatch_outcome::Whole || attempt->cancelled)
+        closeConnection(*attempt);
 }
 
 void cancelAttempt(gate_attempt& attempt)
@@ -277,19 +305,34 @@
 
 void releaseConnection(gate_shell& shell, gate_attempt& attempt)
 {
-    auto connection = std::move(attempt.connection);
-    if (!connection || !attempt.parser->is_done() || !attempt.parser->get().keep_alive() || attempt.parser->get().need_eof())
+    const auto connection = attempt.connection;
+    if (!connection)
         return;
+    const bool kept = attempt.written && attempt.parser->is_done() && attempt.parser->get().keep_alive() && !attempt.parser->get().need_eof();
     const auto keep = keepAliveOf(*attempt.parser);
     // Bytes after a complete answer belong to no request.
-    if (connection->buffer.size() > 0 || keep.count() <= 0)
+    if (!kept || connection->buffer.size() > 0 || keep.count() <= 0 || shell.idleCount >= shell.room.idleConnections) {
+        closeConnection(attempt);
         return;
+    }
+    attempt.connection.reset();
     connection->buffer = beast::flat_buffer();
     connection->idleSince = shell.clock.now();
     connection->keepUntil = connection->idleSince + keep;
-    auto& kept = shell.idle[connection->address];
-    if (kept.size() < MostIdlePerAddress)
-        kept.push_back(std::move(connection));
+    auto& others = shell.idle[connection->address];
+    if (others.size() >= MostIdlePerAddress)
+        return;
+    others.push_back(connection);
+    ++shell.idleCount;
+}
+
+void dropIdle(gate_shell& shell, const std::string& address)
+{
+    const auto found = shell.idle.find(address);
+    if (found == shell.idle.end())
+        return;
+    shell.idleCount -= found->second.size();
+    shell.idle.erase(found);
 }
 
 void sweepIdle(gate_shell& shell)
@@ -297,7 +340,9 @@
     const auto now = shell.clock.now();
     for (auto at = shell.idle.begin(); at != shell.idle.end();) {
         auto& kept = at->second;
-        kept.erase(std::remove_if(kept.begin(), kept.end(), [&](const auto& connection) { return now >= connection->keepUntil; }), kept.end());
+        const auto expired = std::remove_if(kept.begin(), kept.end(), [&](const auto& connection) { return now >= connection->keepUntil; });
+        shell.idleCount -= static_cast<std::size_t>(kept.end() - expired);
+        kept.erase(expired, kept.end());
         at = kept.empty() ? shell.idle.erase(at) : std::next(at);
     }
 }
--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -10,6 +10,11 @@
 /** Room beyond the announced idle time, so that a caller that uses all of it is not cut. */
 static constexpr milliseconds IdleMargin { 3000 };
 
+/** Silence in the middle of an answer that ends it once the request's time is over: some retransmissions between regions. */
+static constexpr milliseconds StreamSilence { 1000 };
+/** Retry-After for a request whose body finds no room: about the time that a body is held. */
+static constexpr milliseconds BodyRetryAfter { 500 };
+
 using request_parser = http::request_parser<http::string_body>;
 using caller_pointer = std::shared_ptr<caller_connection>;
 
@@ -45,6 +50,8 @@
 /** The status for a request that could not be read. */
 static unsigned statusOf(const error_code& error)
 {
+    if (error == http::error::buffer_overflow) // No room for the request: see readRequest().
+        return 503;
     if (error == http::error::header_limit)
         return 431;
     if (error == http::error::body_limit)
@@ -65,6 +72,7 @@
     auto exchange = std::make_shared<gate_exchange>();
     exchange->id = ++shell.lastExchange;
     exchange->request = std::move(request);
+    shell.bodyBytes += exchange->request.body().size();
     exchange->arrived = shell.clock.now();
     const auto facts = platform::decodeCaller(exchange->request);
     exchange->callerId = facts.id;
@@ -85,6 +93,25 @@
     feedGate(shell, std::move(event));
 }
 
+/** Gives back the room that the body being read has taken. */
+static void releaseBody(gate_shell& shell, caller_connection& caller)
+{
+    shell.bodyBytes -= caller.reservedBytes;
+    caller.reservedBytes = 0;
+}
+
+/** Takes room for the body that follows the head; one without a length may be as large as is allowed. @return false when there is none. */
+static bool reserveBody(gate_shell& shell, caller_connection& caller, const request_parser& parser, std::uint64_t most)
+{
+    const auto length = parser.content_length();
+    const std::uint64_t bytes = parser.chunked() ? most : (length ? *length : 0);
+    if (bytes > 0 && shell.bodyBytes + bytes > shell.room.bodyBytes)
+        return false;
+    caller.reservedBytes = bytes;
+    shell.bodyBytes += bytes;
+    return true;
+}
+
 /** Reads one request. @return the error, if it could not be read. */
 static asio::awaitable<error_code> readRequest(gate_shell& shell, caller_connection& caller, request_parser& parser)
 {
@@ -103,6 +130,12 @@
     co_await http::async_read_header(caller.socket, caller.buffer, parser, token);
     if (error)
         co_return error;
+    const bool room = reserveBody(shell, caller, parser, limits.bodyBytes) && shell.exchanges.size() < shell.room.requests;
+    if (!room) {
+        releaseBody(shell, caller);
+        ++shell.counters.bodiesRefused;
+        co_return http::make_error_code(http::error::buffer_overflow);
+    }
     const bool asks = beast::iequals(parser.get()[http::field::expect], "100-continue");
     if (asks && caller.queue.empty()) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -126,10 +159,14 @@
         request_parser parser;
         const auto error = co_await readRequest(shell, *caller, parser);
         caller->expires = time_point::max();
+        releaseBody(shell, *caller);
         if (error && isEnd(error)) {
             const auto open = caller->queue;
-            for (const auto& exchange : open)
+            for (const auto& exchange : open) {
                 feedGate(shell, caller_gone { exchange->id });
+                if (exchange->relayed) // Its request has ended for the reducer; what is left of the answer has no reader.
+                    cancelAttempt(*exchange->relayed);
+            }
             closeCaller(*caller);
             break;
         }
@@ -206,8 +243,9 @@
 }
 
 /** Relays an answer while it is read. @return false when it ended short, to the caller visibly. */
-static asio::awaitable<bool> relayStream(caller_connection& caller, gate_exchange& exchange, bool close)
+static asio::awaitable<bool> relayStream(gate_shell& shell, caller_connection& caller, gate_exchange& exchange, bool close)
 {
+    const auto patience = limitsOf(shell).idleTime;
     auto& attempt = *exchange.relayed;
     auto response = relayedHead<http::buffer_body>(attempt, exchange, close);
     const bool hasLength = attempt.parser->content_length().has_value();
@@ -222,10 +260,13 @@
     bool more = true;
     while (!error && more) {
         bool read = true;
+        caller.writeUntil = time_point::max();
+        attempt.readUntil = std::max(attempt.command.deadline, shell.clock.now() + StreamSilence);
         if (attempt.body.empty())
             read = co_await readMore(attempt);
         if (!read)
             co_return false;
+        caller.writeUntil = shell.clock.now() + patience;
         more = !attempt.parser->is_done();
         response.body().data = attempt.body.empty() ? nullptr : attempt.body.data();
         response.body().size = attempt.body.size();
@@ -243,6 +284,7 @@
 {
     // Requests that were read behind this one are still answered; nothing more is read.
     caller->closing = caller->closing || shell.stopping || !exchange.request.keep_alive();
+    caller->writeUntil = shell.clock.now() + limitsOf(shell).idleTime;
     const bool close = caller->closing && caller->queue.size() == 1;
     if (exchange.own) {
         auto response = ownAnswer(exchange, *exchange.own);
@@ -262,7 +304,7 @@
     if (whole)
         done = co_await relayWhole(*caller, exchange, close);
     else
-        done = co_await relayStream(*caller, exchange, close);
+        done = co_await relayStream(shell, *caller, exchange, close);
     if (done && !whole)
         releaseConnection(shell, *attempt);
     if (done) {
@@ -272,7 +314,7 @@
     }
     ++shell.counters.cutShort;
     writeLine("relay_cut", { { "id", exchange.callerId }, { "endpoint", attempt->command.endpoint } }, shell.clock.now());
-    attempt->connection.reset();
+    cancelAttempt(*attempt);
     resetCaller(*caller);
     co_return false;
 }
@@ -280,7 +322,10 @@
 /** Answers what could not be read, after everything that was. */
 static asio::awaitable<void> writeBadRequest(const caller_pointer& caller)
 {
-    auto response = makeProblem(static_cast<http::status>(caller->badStatus), "the request cannot be read", "");
+    const bool noRoom = caller->badStatus == 503;
+    auto response = makeProblem(static_cast<http::status>(caller->badStatus), noRoom ? "no room for the request" : "the request cannot be read", "");
+    if (noRoom)
+        platform::addRetryAfter(response, BodyRetryAfter);
     response.keep_alive(false);
     response.prepare_payload();
     error_code error;
@@ -300,6 +345,13 @@
     closeCaller(*caller);
 }
 
+/** The request has ended for its caller. */
+static void forgetExchange(gate_shell& shell, const gate_exchange& exchange)
+{
+    shell.bodyBytes -= exchange.request.body().size();
+    shell.exchanges.erase(exchange.id);
+}
+
 /** Writes answers in the order of the requests. */
 static asio::awaitable<void> writeCaller(gate_shell& shell, caller_pointer caller)
 {
@@ -317,20 +369,48 @@
         }
         const auto exchange = caller->queue.front();
         going = co_await writeAnswer(shell, caller, *exchange);
+        caller->writeUntil = time_point::max();
         caller->queue.pop_front();
         exchange->relayed.reset();
-        shell.exchanges.erase(exchange->id);
+        forgetExchange(shell, *exchange);
         notify(*caller);
     }
     for (const auto& exchange : caller->queue) {
         feedGate(shell, caller_gone { exchange->id });
-        shell.exchanges.erase(exchange->id);
+        if (exchange->relayed)
+            cancelAttempt(*exchange->relayed);
+        forgetExchange(shell, *exchange);
     }
     caller->queue.clear();
     if (caller->socket.is_open())
         co_await closeGently(shell, caller);
 }
 
+static std::size_t openCallers(gate_shell& shell)
+{
+    auto& callers = shell.callers;
+    if (callers.size() >= shell.room.callers)
+        callers.erase(std::remove_if(callers.begin(), callers.end(), [](const auto& weak) { return weak.expired(); }), callers.end());
+    return callers.size();
+}
+
+/** Makes room for a new caller: closes the connection that has been without a request for longest. @return false when all have one. */
+static bool closeIdlest(gate_shell& shell)
+{
+    caller_pointer idlest;
+    for (const auto& weak : shell.callers) {
+        const auto caller = weak.lock();
+        const bool idle = caller && caller->socket.is_open() && caller->queue.empty() && caller->buffer.size() == 0;
+        if (idle && (!idlest || caller->expires < idlest->expires))
+            idlest = caller;
+    }
+    if (!idlest)
+        return false;
+    ++shell.counters.callersClosed;
+    closeCaller(*idlest);
+    return true;
+}
+
 asio::awaitable<void> acceptCallers(gate_shell& shell)
 {
     error_code error;
@@ -344,6 +424,10 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
+        if (openCallers(shell) >= shell.room.callers && !closeIdlest(shell)) {
+            writeLine("caller_rejected", { { "callers", std::to_string(shell.callers.size()) } }, shell.clock.now());
+            continue;
+        }
         auto caller = std::make_shared<caller_connection>(std::move(socket), shell.context.get_executor());
         caller->expires = time_point::max();
         shell.callers.push_back(caller);
@@ -352,14 +436,33 @@
     }
 }
 
+/** Ends what stands still: a silent caller, one that takes nothing of its answer, an answer that does not go on. */
+static void sweepCaller(gate_shell& shell, caller_connection& caller, time_point now)
+{
+    if (caller.queue.empty()) {
+        if (now >= caller.expires)
+            closeCaller(caller);
+        return;
+    }
+    if (now >= caller.writeUntil) {
+        ++shell.counters.callersStuck;
+        writeLine("caller_stuck", { { "id", caller.queue.front()->callerId } }, now);
+        resetCaller(caller);
+        return;
+    }
+    const auto relayed = caller.queue.front()->relayed;
+    if (relayed && now >= relayed->readUntil)
+        cancelAttempt(*relayed);
+}
+
 void sweepCallers(gate_shell& shell)
 {
     const auto now = shell.clock.now();
     auto& callers = shell.callers;
     for (const auto& weak : callers) {
         const auto caller = weak.lock();
-        if (caller && caller->socket.is_open() && now >= caller->expires && caller->queue.empty())
-            closeCaller(*caller);
+        if (caller && caller->socket.is_open())
+            sweepCaller(shell, *caller, now);
     }
     callers.erase(std::remove_if(callers.begin(), callers.end(), [](const auto& weak) { return weak.expired(); }), callers.end());
 }
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -65,10 +65,16 @@
     counter("failed", counters.failed);
     counter("attempts", counters.attempts);
     counter("bad_requests", counters.badRequests);
+    counter("callers_closed_for_room", counters.callersClosed);
+    counter("callers_stuck", counters.callersStuck);
+    counter("requests_without_room", counters.bodiesRefused);
+    counter("endpoint_connections_forgotten", counters.forgotten);
     counter("endpoint_connections", counters.connectionsOpened);
     counter("rejected_objects", counters.rejectedObjects);
     counter("relays", counters.relays);
     counter("gossip_sent", counters.gossipSent);
+    counter("gossip_unsent", counters.gossipUnsent);
+    counter("gossip_bytes", counters.gossipBytes);
     counter("gossip_received", counters.gossipReceived);
     counter("store_reads", shell.storeCalls.reads);
     counter("store_watches", shell.storeCalls.watches);
@@ -77,6 +83,9 @@
     counter("log_lines", logCounts().written);
     counter("log_lines_dropped", logCounts().dropped);
     gauge("requests_open", shell.exchanges.size());
+    gauge("callers_open", shell.callers.size());
+    gauge("body_bytes", shell.bodyBytes);
+    gauge("endpoint_connections_idle", shell.idleCount);
     gauge("endpoints", shell.state.endpoints.size());
     gauge("vms_alive", aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size());
     gauge("config_version", shell.state.routes ? shell.state.routes->config.version : 0);
@@ -190,6 +199,7 @@
         shell.settings.seeds = settings->seeds;
         shell.settings.regionOfZone = settings->regionOfZone;
         shell.state.self = identityOf(shell.settings);
+        shell.state.members.regionOfZone = shell.settings.regionOfZone;
         writeLine("reload", { { "outcome", "in force" } }, shell.clock.now());
     }
 }
--- a/src/serve/serve_effects.cpp
+++ b/src/serve/serve_effects.cpp
@@ -71,7 +71,7 @@
         cancelAttempt(*found->second);
 }
 
-static void carryOut(gate_shell& shell, const drop_connections& effect) { shell.idle.erase(effect.address); }
+static void carryOut(gate_shell& shell, const drop_connections& effect) { dropIdle(shell, effect.address); }
 
 static void carryOut(gate_shell& shell, const wake_request& effect)
 {
@@ -115,6 +115,7 @@
     self.zone = settings.zone;
     self.region = settings.region;
     self.regionOfZone = settings.regionOfZone;
+    self.size = { settings.cores, settings.linkMbps };
     self.retries = { settings.bounds.retryRatio, settings.bounds.retrySlack, settings.bounds.retryWindow };
     self.coldOverage = settings.bounds.coldOverage;
     self.coldSlack = settings.bounds.coldSlack;
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -25,6 +25,9 @@
 /** Gives the connection of a whole answer back for later attempts, or closes it. */
 void releaseConnection(gate_shell& shell, gate_attempt& attempt);
 
+/** Closes the kept connections to an endpoint. */
+void dropIdle(gate_shell& shell, const std::string& address);
+
 /** Closes kept connections that are about to be closed by the endpoint. */
 void sweepIdle(gate_shell& shell);
 
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -89,24 +89,32 @@
     }
 }
 
+/** Sends one message to all @p targets. */
+static void sendTo(gate_shell& shell, udp::socket& socket, const std::vector<std::string>& targets, const std::string& message)
+{
+    for (const auto& ip : targets) {
+        error_code error;
+        const auto address = asio::ip::make_address(ip, error);
+        if (error || ip == shell.settings.ip)
+            continue;
+        socket.send_to(asio::buffer(message), udp::endpoint(address, shell.settings.gossipPort), 0, error);
+        ++(error ? shell.counters.gossipUnsent : shell.counters.gossipSent); // A lost datagram is what gossip is made for.
+        shell.counters.gossipBytes += error ? 0 : message.size();
+    }
+}
+
 static asio::awaitable<void> sendClaims(gate_shell& shell, std::shared_ptr<udp::socket> socket)
 {
     while (socket->is_open()) {
         const auto now = shell.clock.now();
-        const auto message = encodeClaims(claimsToSend(shell.state.members, shell.state.gossip, now));
+        const auto messages = claimsToSend(shell.state.members, shell.state.gossip, now);
         auto targets = gossipTargets(shell.state.members, shell.state.gossip, now);
-        if (targets.size() < shell.state.gossip.fanout) {
+        if (targets.near.size() + targets.far.size() < shell.state.gossip.fanout) {
             for (const auto& seed : shell.settings.seeds)
-                targets.push_back(seed.substr(0, seed.rfind(':')));
-        }
-        for (const auto& ip : targets) {
-            error_code error;
-            const auto address = asio::ip::make_address(ip, error);
-            if (error || ip == shell.settings.ip)
-                continue;
-            socket->send_to(asio::buffer(message), udp::endpoint(address, shell.settings.gossipPort), 0, error);
-            shell.counters.gossipSent += error ? 0 : 1; // A lost datagram is what gossip is made for.
+                targets.far.push_back(seed.substr(0, seed.rfind(':')));
         }
+        sendTo(shell, *socket, targets.near, encodeClaims(messages.near));
+        sendTo(shell, *socket, targets.far, encodeClaims(messages.far));
         co_await pauseFor(shell.state.gossip.interval);
     }
 }
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "gate/gate_func.h"
+#include "limit/limit_func.h"
 #include "net/http_type.h"
 #include "platform/messages.h"
 #include "platform/object_store.h"
+#include "reuse/reuse_type.h"
 #include "settings/gate_settings.h"
 #include <array>
 #include <deque>
@@ -26,7 +28,7 @@
     std::string address; ///< Where it leads.
     time_point idleSince {}; ///< When its last exchange ended.
     time_point keepUntil {}; ///< The endpoint may close it after this.
-    bool fresh = true; ///< Not used before.
+    std::optional<milliseconds> rested; ///< How long it had rested before this use; nothing for a new one.
 
     explicit endpoint_connection(tcp::socket socket)
         : socket(std::move(socket))
@@ -42,7 +44,10 @@
 struct gate_attempt {
     send_attempt command; ///< What to do.
     std::weak_ptr<gate_exchange> exchange; ///< The request it serves.
-    std::unique_ptr<endpoint_connection> connection; ///< Set once connected.
+    std::shared_ptr<endpoint_connection> connection; ///< Set once connected; shared with the writer of the request.
+    time_point startedAt {}; ///< When its request was written.
+    bool written = false; ///< The whole request was written.
+    time_point readUntil = time_point::max(); ///< The sweep ends it after this: its answer stands still.
     std::optional<answer_parser> parser; ///< Of the answer.
     std::string body; ///< What was read of the body and not relayed yet.
     bool cancelled = false; ///< Its end is not needed.
@@ -74,10 +79,16 @@
     std::uint64_t failed = 0; ///< Own answers that prove nothing.
     std::uint64_t attempts = 0; ///< Attempts sent.
     std::uint64_t badRequests = 0; ///< Malformed requests.
+    std::uint64_t callersClosed = 0; ///< Idle callers that were closed for new ones.
+    std::uint64_t callersStuck = 0; ///< Callers that took nothing of their answer.
+    std::uint64_t bodiesRefused = 0; ///< Requests without room for their body.
+    std::uint64_t forgotten = 0; ///< Kept connections that endpoints had forgotten.
     std::uint64_t connectionsOpened = 0; ///< New connections to endpoints.
     std::uint64_t rejectedObjects = 0; ///< Objects of the store that could not be read.
     std::uint64_t relays = 0; ///< Times that another VM knew more than the store had told.
     std::uint64_t gossipSent = 0; ///< Datagrams.
+    std::uint64_t gossipUnsent = 0; ///< Datagrams that could not be sent.
+    std::uint64_t gossipBytes = 0; ///< Bytes of the datagrams sent.
     std::uint64_t gossipReceived = 0; ///< Datagrams.
 };
 
@@ -90,10 +101,12 @@
     beast::flat_buffer buffer; ///< Read and not parsed yet.
     std::deque<std::shared_ptr<gate_exchange>> queue; ///< Open requests, in order.
     asio::steady_timer changed; ///< Cancelled whenever the writer or reader should look again.
-    time_point expires {}; ///< The sweep closes it after this.
+    time_point expires {}; ///< The sweep closes it after this, while nothing is open.
+    time_point writeUntil = time_point::max(); ///< The sweep resets it after this: it takes nothing of its answer.
+    std::uint64_t reservedBytes = 0; ///< Of the room for bodies, while one is read.
     bool readerDone = false; ///< Nothing more will be read.
     bool closing = false; ///< Closed after the answers that are due.
-    unsigned badStatus = 0; ///< Answer to a malformed request, after the answers that are due.
+    unsigned badStatus = 0; ///< Answer to a request that was not read, after the answers that are due.
 
     caller_connection(tcp::socket socket, const asio::any_io_executor& executor)
         : socket(std::move(socket))
@@ -124,8 +137,12 @@
     std::deque<gate_event> inbox; ///< Events that came up while effects were carried out.
     bool draining = false; ///< The inbox is being worked off.
     std::unordered_map<std::uint64_t, std::shared_ptr<gate_exchange>> exchanges; ///< Open requests, by id.
-    std::map<std::string, std::vector<std::unique_ptr<endpoint_connection>>> idle; ///< Kept connections, by address.
+    std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>> idle; ///< Kept connections, by address.
     std::vector<std::weak_ptr<caller_connection>> callers; ///< Open connections of callers.
+    std::size_t idleCount = 0; ///< Kept connections in all.
+    reuse_belief reuse; ///< What was learned of their life.
+    serve_room room; ///< What may be open at the same time.
+    std::uint64_t bodyBytes = 0; ///< Bodies of callers that are held or being read.
     std::uint64_t lastExchange = 0; ///< Last identity given.
     gate_counters counters; ///< Since the start.
     std::map<std::string, std::array<std::uint64_t, LatencyBounds.size() + 1>> latency; ///< Histograms, by route.
@@ -147,6 +164,7 @@
         , settings(std::move(settings))
         , settingsFile(std::move(settingsFile))
         , state(std::move(state))
+        , room(roomFor(this->settings.maxDescriptors, this->settings.memoryMb))
     {
     }
 };
--- a/src/settings/gate_settings.h
+++ b/src/settings/gate_settings.h
@@ -38,6 +38,8 @@
     std::string store; ///< IP:port of the platform's store.
     std::uint32_t maxDescriptors = 1024; ///< Bound on open descriptors.
     std::uint32_t memoryMb = 256; ///< Bound on memory, in megabytes.
+    double cores = 1; ///< Processor, in cores.
+    double linkMbps = 1000; ///< Link each way, in Mbit/s.
     gate_bounds bounds; ///< Promises.
 };
 
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -1,5 +1,6 @@
 /** @file test_gossip.cpp Membership by gossip: who is alive, who is named to callers. */
 #include "gossip/gossip_func.h"
+#include "lookup/lookup_func.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -11,7 +12,7 @@
 
 static member_claim claimOf(const std::string& vm, const std::string& zone, std::uint64_t incarnation, std::uint64_t beat, bool serving = true)
 {
-    return { vm, "10.0.0." + vm, zone, incarnation, beat, serving, { beat, 2, 3 } };
+    return { vm, "10.0.0." + vm, zone, incarnation, beat, serving, 100, { beat, 2, 3 } };
 }
 
 static member_table tableOf(const std::string& self, const std::string& zone)
@@ -77,20 +78,23 @@
     for (std::size_t i = 0; i < message.size(); ++i)
         CHECK(decodeClaims(std::string_view(message).substr(0, i)).empty());
     CHECK(decodeClaims("[[1,2,3,4,5,6,7,8,9]]").empty());
-    CHECK(decodeClaims("[[\"a\",\"b\",\"c\",-1,5,true,0,0,0]]").empty());
+    CHECK(decodeClaims("[[\"a\",\"b\",\"c\",-1,5,true,1,0,0,0]]").empty());
 }
 
 /** Members that gossip over a network that loses, delays and doubles datagrams. */
 struct gossip_cluster {
     std::vector<member_table> tables; ///< One a member.
     std::vector<bool> up; ///< Whether it runs.
+    std::size_t bytes = 0; ///< Sent so far.
 };
 
-static gossip_cluster clusterOf(std::size_t size)
+static gossip_cluster clusterOf(std::size_t size, std::size_t regions = 1)
 {
+    static const std::vector<std::string> Zones { "a1", "b1", "c1", "a2", "b2", "c2" };
     gossip_cluster cluster;
     for (std::size_t i = 0; i < size; ++i) {
-        cluster.tables.push_back(tableOf(std::to_string(i), "a1"));
+        cluster.tables.push_back(tableOf(std::to_string(i), regions == 1 ? "a1" : Zones[i % Zones.size()]));
+        cluster.tables.back().regionOfZone = { { "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" }, { "c1", "c" }, { "c2", "c" } };
         cluster.up.push_back(true);
     }
     // Everybody knows the first member only, as from the store's list at its start.
@@ -104,24 +108,31 @@
     for (std::size_t from = 0; from < cluster.tables.size(); ++from) {
         if (!cluster.up[from])
             continue;
-        const auto message = encodeClaims(claimsToSend(cluster.tables[from], Limits, now));
-        for (const auto& ip : gossipTargets(cluster.tables[from], Limits, now)) {
-            draw = draw * 1664525 + 1013904223;
-            const auto to = std::stoul(ip.substr(ip.rfind('.') + 1));
-            if ((draw >> 16) % 100 < lossPercent || !cluster.up[to])
-                continue;
-            const auto claims = decodeClaims(message);
-            mergeClaims(cluster.tables[to], claims, claims.front().vm, now);
-            if ((draw >> 8) % 4 == 0) // Doubled.
-                mergeClaims(cluster.tables[to], claims, claims.front().vm, now);
-        }
+        const auto messages = claimsToSend(cluster.tables[from], Limits, now);
+        const auto targets = gossipTargets(cluster.tables[from], Limits, now);
+        const auto tell = [&](const std::vector<std::string>& ips, const std::vector<member_claim>& claims) {
+            const auto message = encodeClaims(claims);
+            for (const auto& ip : ips) {
+                draw = draw * 1664525 + 1013904223;
+                const auto to = std::stoul(ip.substr(ip.rfind('.') + 1));
+                cluster.bytes += message.size();
+                if ((draw >> 16) % 100 < lossPercent || !cluster.up[to])
+                    continue;
+                const auto heard = decodeClaims(message);
+                mergeClaims(cluster.tables[to], heard, heard.front().vm, now);
+                if ((draw >> 8) % 4 == 0) // Doubled.
+                    mergeClaims(cluster.tables[to], heard, heard.front().vm, now);
+            }
+        };
+        tell(targets.near, messages.near);
+        tell(targets.far, messages.far);
     }
 }
 
 TEST_CASE("all members know each other within seconds, and the dead are forgotten within the bound, at loss of 20%")
 {
     rc::prop("gossip converges", [] {
-        const auto size = *rc::gen::inRange<std::size_t>(2, 25);
+        const auto size = *rc::gen::inRange<std::size_t>(2, 70);
         const auto seed = *rc::gen::arbitrary<unsigned>();
         auto cluster = clusterOf(size);
         time_point now { seconds(100) };
@@ -140,3 +151,57 @@
             RC_ASSERT(aliveCount(cluster.tables[i], now) == size - 1);
     });
 }
+
+TEST_CASE("gossip: in three regions the own region is known at once, the others soon, the dead leave, the healed return")
+{
+    rc::prop("regions converge", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(6, 70);
+        const auto seed = *rc::gen::arbitrary<unsigned>();
+        auto cluster = clusterOf(size, 3);
+        time_point now { seconds(100) };
+        const auto play = [&](int rounds) {
+            for (int i = 0; i < rounds; ++i) {
+                now += Limits.interval;
+                playRound(cluster, now, 10, seed + static_cast<unsigned>(i));
+            }
+        };
+        const auto nearAlive = [&](std::size_t at) {
+            std::size_t result = 0;
+            for (const auto* member : aliveMembers(cluster.tables[at], Limits, now))
+                result += member->zone[0] == cluster.tables[at].members.at(std::to_string(at)).claim.zone[0] ? 1 : 0;
+            return result;
+        };
+        const auto nearUp = [&](std::size_t at) {
+            std::size_t result = 0;
+            for (std::size_t i = at % 3; i < size; i += 3)
+                result += cluster.up[i] ? 1 : 0;
+            return result;
+        };
+        play(24);
+        for (std::size_t i = 0; i < size; ++i)
+            RC_ASSERT(nearAlive(i) == nearUp(i));
+        cluster.up[1] = false;
+        cluster.up[2] = false;
+        play(14); // 7 s: the time after which a dead member must not be named.
+        for (std::size_t i = 0; i < size; ++i)
+            RC_ASSERT(!cluster.up[i] || nearAlive(i) == nearUp(i));
+        cluster.up[1] = true;
+        cluster.up[2] = true;
+        play(24);
+        for (std::size_t i = 0; i < size; ++i)
+            RC_ASSERT(nearAlive(i) == nearUp(i));
+    });
+}
+
+TEST_CASE("gossip: a VM of 62 in three regions sends less than 12 KB a second")
+{
+    auto cluster = clusterOf(62, 3);
+    time_point now { seconds(100) };
+    for (int i = 0; i < 60; ++i) {
+        now += Limits.interval;
+        if (i == 40)
+            cluster.bytes = 0;
+        playRound(cluster, now, 0, static_cast<unsigned>(i));
+    }
+    CHECK(cluster.bytes / 62 / 10 < 12'000);
+}
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -433,3 +433,136 @@
     CHECK(caller->received.find("Connection: close") != std::string::npos);
     CHECK(late->received.find("HTTP/1.1 200") == 0);
 }
+
+/** Puts another version of the routing configuration in force. */
+static void changeLimits(serve_rig& rig, const std::string& from, const std::string& to)
+{
+    std::string text(RouteTable);
+    text.replace(text.find(from), from.size(), to);
+    text.replace(text.find("\"version\":1"), 11, "\"version\":2");
+    putObject(*rig.store, "config", "main", boost::json::parse(text));
+    runUntil(rig, [&] { return rig.gate->state.routes->config.version == 2; });
+}
+
+TEST_CASE("serve: a caller that leaves in the middle of an answer ends the endpoint's work")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->answerBytes = 300'000;
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Stall;
+    const auto caller = connectCaller(*rig);
+    say(*caller, get("/read/x", "half"));
+    runUntil(*rig, [&] { return count(caller->received, "x") > 149'000; }); // The half that the endpoint sends.
+    caller->socket.close();
+    runUntil(*rig, [&] { return rig->endpoints[0]->cancelled == 1; });
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+}
+
+TEST_CASE("serve: an answer that stands still ends once the request's time is over, and does not look complete")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->answerBytes = 300'000;
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Stall;
+    const auto caller = connectCaller(*rig);
+    say(*caller, get("/slow/x", "half"));
+    runUntil(*rig, [&] { return caller->closed; });
+    CHECK(caller->received.find("Content-Length: 300000") != std::string::npos);
+    CHECK(count(caller->received, "x") < 300'000);
+    CHECK(rig->gate->counters.cutShort == 1);
+    runUntil(*rig, [&] { return rig->endpoints[0]->cancelled == 1; });
+}
+
+TEST_CASE("serve: a caller that takes nothing of its answer is reset")
+{
+    auto rig = makeRig(1);
+    changeLimits(*rig, "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":500");
+    rig->endpoints[0]->answerBytes = 30'000'000;
+    tcp::socket caller(rig->context);
+    caller.connect(rig->gate->callerAcceptor->local_endpoint());
+    const auto request = get("/read/x", "stuck");
+    asio::write(caller, asio::buffer(request));
+    runUntil(*rig, [&] { return rig->gate->counters.callersStuck == 1; });
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+}
+
+TEST_CASE("serve: when the room for callers is used up, the one that has rested longest makes way, and none that waits")
+{
+    auto rig = makeRig(1);
+    rig->gate->room.callers = 2;
+    const auto first = connectCaller(*rig);
+    say(*first, get("/read/x", "a"));
+    awaitAnswers(*rig, *first, 1);
+    const auto second = connectCaller(*rig);
+    say(*second, get("/read/x", "b"));
+    awaitAnswers(*rig, *second, 1);
+    const auto third = connectCaller(*rig);
+    say(*third, get("/read/x", "c"));
+    awaitAnswers(*rig, *third, 1);
+    CHECK(first->closed);
+    CHECK_FALSE(second->closed);
+    CHECK(rig->gate->counters.callersClosed == 1);
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Silent;
+    say(*second, get("/read/x", "d"));
+    say(*third, get("/read/x", "e"));
+    runUntil(*rig, [&] { return runsOf(*rig, "d") + runsOf(*rig, "e") == 2; });
+    const auto fourth = connectCaller(*rig);
+    runUntil(*rig, [&] { return fourth->closed; });
+    CHECK_FALSE(second->closed);
+    CHECK_FALSE(third->closed);
+}
+
+TEST_CASE("serve: a body without room is refused with a time to come back, and its room is given back")
+{
+    auto rig = makeRig(1);
+    rig->gate->room.bodyBytes = 3000;
+    const auto caller = connectCaller(*rig);
+    say(*caller, post("/write/x", "large", std::string(4000, 'b')));
+    runUntil(*rig, [&] { return caller->closed; });
+    CHECK(caller->received.find("HTTP/1.1 503") == 0);
+    CHECK(caller->received.find("Retry-After: ") != std::string::npos);
+    CHECK(runsOf(*rig, "large") == 0);
+    const auto chunked = connectCaller(*rig); // Without a length it may become as large as is allowed.
+    say(*chunked, "POST /write/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    runUntil(*rig, [&] { return chunked->closed; });
+    CHECK(chunked->received.find("HTTP/1.1 503") == 0);
+    for (int i = 0; i < 3; ++i) {
+        const auto other = connectCaller(*rig);
+        say(*other, post("/write/x", "small" + std::to_string(i), std::string(2000, 'b')));
+        awaitAnswers(*rig, *other, 1);
+        CHECK(other->received.find("HTTP/1.1 200") == 0);
+    }
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+    CHECK(rig->gate->bodyBytes == 0);
+}
+
+TEST_CASE("serve: a connection that the endpoint has forgotten costs a repeatable request a second attempt there, no more")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Forget;
+    const auto caller = connectCaller(*rig);
+    for (int i = 0; i < 6; ++i) {
+        const auto before = count(caller->received, "HTTP/1.1 ");
+        say(*caller, get("/read/x", "id" + std::to_string(i)));
+        awaitAnswers(*rig, *caller, before + 1);
+        CHECK(runsOf(*rig, "id" + std::to_string(i)) == 1);
+    }
+    CHECK(count(caller->received, "HTTP/1.1 200") == 6);
+    CHECK(rig->gate->counters.forgotten >= 1);
+    CHECK_FALSE(rig->gate->state.endpoints.at("e0").health.onTrial);
+}
+
+TEST_CASE("serve: an answer before a long body was read is passed on at once, and the connection not used again")
+{
+    auto rig = makeRig(1);
+    changeLimits(*rig, "\"max_body_bytes\":5000", "\"max_body_bytes\":20000000");
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Early;
+    const auto caller = connectCaller(*rig);
+    const auto request = post("/write/x", "long", std::string(15'000'000, 'b')); // More than sockets hold.
+    asio::async_write(caller->socket, asio::buffer(request), [](const error_code&, std::size_t) {});
+    awaitAnswers(*rig, *caller, 1);
+    CHECK(caller->received.find("HTTP/1.1 200") == 0);
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Answer;
+    say(*caller, get("/read/x", "next"));
+    awaitAnswers(*rig, *caller, 2);
+    CHECK(count(caller->received, "HTTP/1.1 200") == 2);
+    CHECK(runsOf(*rig, "next") == 1);
+}
