Feature: Three VMs a region watch the store, the others follow them; starts join by the seeds

src/follow decides, by a rendezvous among the living VMs of the region that the store answers, by what they carry. A follower holds calls for news open at two watchers, which answer with what changed and within a second in any case; without an informed answer for 1.6 s it watches the store itself. The protocol of our own store between VMs is replaced by that one call.

--- /dev/null
+++ b/src/follow/follow_func.h
@@ -0,0 +1,17 @@
+/** @file follow_func.h Which VMs watch the store, and whom the others follow. */
+#pragma once
+
+#include "follow/follow_type.h"
+#include "gossip/gossip_type.h"
+
+namespace lhub {
+
+/**
+ * A few VMs of each region watch the store and the others follow them, so that calls to the store grow with regions and not
+ * with VMs. The watchers are those that win a rendezvous by what they carry, among the living ones that the store answers.
+ * VMs with different views may differ on who they are: then more VMs watch than need to, never none, since a VM that finds
+ * no watcher watches itself. Thread safe on const objects.
+ */
+follow_plan planFollow(const member_table& table, const gossip_limits& gossip, const follow_limits& limits, time_point now);
+
+} // namespace lhub
--- /dev/null
+++ b/src/follow/follow_type.h
@@ -0,0 +1,22 @@
+/** @file follow_type.h Which VMs watch the store, and whom the others follow. */
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace lhub {
+
+/** Settings of following. */
+struct follow_limits {
+    std::size_t watchers = 3; ///< VMs of a region that watch the store; two may be lost at the same moment.
+    std::size_t sources = 2; ///< Watchers that each of the others follows at the same time.
+};
+
+/** What a VM does to keep up with the store. */
+struct follow_plan {
+    bool watches = true; ///< It watches the store itself.
+    std::vector<std::string> sources; ///< IPs of the watchers that it follows otherwise.
+};
+
+} // namespace lhub
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -7,7 +7,7 @@
 
 namespace lhub {
 
-static constexpr std::size_t FixedCells = 7; ///< Cells of a row before the revisions.
+static constexpr std::size_t FixedCells = 8; ///< Cells of a row before the revisions.
 static constexpr std::uint64_t RetryDeadEvery = 4; ///< Rounds between two messages to a dead member.
 
 void mergeClaims(member_table& table, const std::vector<member_claim>& claims, std::string_view from, time_point now)
@@ -35,12 +35,14 @@
     return found == table.regionOfZone.end() ? zone : found->second;
 }
 
-/** Whether the member stands in another region than this VM. */
-static bool isFar(const member_table& table, const gossip_member& member)
+bool isSameRegion(const member_table& table, const std::string& zone)
 {
-    return regionOf(table, member.claim.zone) != regionOf(table, table.members.at(table.self).claim.zone);
+    return regionOf(table, zone) == regionOf(table, table.members.at(table.self).claim.zone);
 }
 
+/** Whether the member stands in another region than this VM. */
+static bool isFar(const member_table& table, const gossip_member& member) { return !isSameRegion(table, member.claim.zone); }
+
 bool isAlive(const member_table& table, const gossip_member& member, const gossip_limits& limits, time_point now)
 {
     if (member.claim.vm == table.self)
@@ -124,7 +126,7 @@
 {
     json::array rows;
     for (const auto& claim : claims) {
-        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving, claim.carries };
+        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving, claim.storeAnswers, claim.carries };
         for (const auto revision : claim.known)
             row.emplace_back(revision);
         rows.push_back(std::move(row));
@@ -143,7 +145,7 @@
         if (!row.is_array() || row.get_array().size() < FixedCells + RelayedKinds)
             return {};
         const auto& cells = row.get_array();
-        if (!cells[0].is_string() || !cells[1].is_string() || !cells[2].is_string() || !cells[5].is_bool())
+        if (!cells[0].is_string() || !cells[1].is_string() || !cells[2].is_string() || !cells[5].is_bool() || !cells[6].is_bool())
             return {};
         const auto incarnation = cells[3].to_number<std::uint64_t>(error);
         if (error)
@@ -151,11 +153,11 @@
         const auto beat = cells[4].to_number<std::uint64_t>(error);
         if (error)
             return {};
-        const auto carries = cells[6].to_number<std::uint32_t>(error);
+        const auto carries = cells[7].to_number<std::uint32_t>(error);
         if (error)
             return {};
         member_claim claim { std::string(cells[0].get_string()), std::string(cells[1].get_string()),
-            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), carries, {} };
+            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), cells[6].get_bool(), carries, {} };
         for (std::size_t kind = 0; kind < RelayedKinds; ++kind) {
             claim.known[kind] = cells[FixedCells + kind].to_number<std::uint64_t>(error);
             if (error)
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -17,6 +17,9 @@
 /** Whether @p member was heard of recently. Thread safe on const objects. */
 bool isAlive(const member_table& table, const gossip_member& member, const gossip_limits& limits, time_point now);
 
+/** Whether a zone lies in the region of this VM. Thread safe on a const object. */
+bool isSameRegion(const member_table& table, const std::string& zone);
+
 /** Members alive, the VM itself included. Thread safe on a const object. */
 std::vector<const member_claim*> aliveMembers(const member_table& table, const gossip_limits& limits, time_point now);
 
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -24,6 +24,7 @@
     std::uint64_t incarnation = 0; ///< Differs between two starts; mostly rises.
     std::uint64_t beat = 0; ///< Rises with every round of its own.
     bool serving = false; ///< Callers may be sent to it.
+    bool storeAnswers = true; ///< The store answers it, as far as it knows; false once it was lost.
     std::uint32_t carries = 1; ///< Requests a second that it can carry.
     known_revisions known; ///< What it knows of the store.
 };
--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -38,15 +38,15 @@
         return ExitBadSettings;
     }
     shell.store = std::move(*store);
+    makeKinds(shell);
     const auto started = startServers(shell);
     if (!started) {
         std::cerr << started.reason << "\n";
         return ExitFailed;
     }
     writeLine("start", { { "vm", settings.vm }, { "zone", settings.zone }, { "version", LHUB_VERSION }, { "incarnation", std::to_string(incarnation) } }, clock.now());
-    startWatches(shell);
     startGossip(shell);
-    asio::co_spawn(context, followPeers(shell), asio::detached);
+    asio::co_spawn(context, keepUp(shell), asio::detached);
     asio::co_spawn(context, followSettings(shell), asio::detached);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& error, int) {
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -72,6 +72,8 @@
     counter("endpoint_connections", counters.connectionsOpened);
     counter("rejected_objects", counters.rejectedObjects);
     counter("relays", counters.relays);
+    counter("news_calls", counters.newsCalls);
+    counter("news_failures", counters.newsFailures);
     counter("gossip_sent", counters.gossipSent);
     counter("gossip_unsent", counters.gossipUnsent);
     counter("gossip_bytes", counters.gossipBytes);
@@ -86,6 +88,7 @@
     gauge("callers_open", shell.callers.size());
     gauge("body_bytes", shell.bodyBytes);
     gauge("endpoint_connections_idle", shell.idleCount);
+    gauge("watches_store", shell.watchesStore ? 1 : 0);
     gauge("endpoints", shell.state.endpoints.size());
     gauge("vms_alive", aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size());
     gauge("config_version", shell.state.routes ? shell.state.routes->config.version : 0);
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -40,7 +40,10 @@
 /** Closes callers' connections that have been silent or slow for too long. */
 void sweepCallers(gate_shell& shell);
 
-/** Keeps reading the store: configuration, endpoints and evacuations, each in a loop of its own. */
+/** Makes the kinds that are read: configuration, endpoints and evacuations. */
+void makeKinds(gate_shell& shell);
+
+/** Keeps reading the store, each kind in a loop of its own, for as long as this VM watches it. */
 void startWatches(gate_shell& shell);
 
 /** Newest change of each kind that this VM knows. */
@@ -49,12 +52,18 @@
 /** Serves what this VM knows to others, in the protocol of our own store. Fails with the reason. */
 outcome<bool> startRelay(gate_shell& shell);
 
-/** Catches up with other VMs that know more, for as long as the store is out of reach or late. */
-asio::awaitable<void> followPeers(gate_shell& shell);
+/** Keeps up with the store: joins by the seeds, then watches it or follows those that do, and catches up with VMs that know more. */
+asio::awaitable<void> keepUp(gate_shell& shell);
+
+/** Answers the VMs that wait here for news. */
+void wakeFollowers(gate_shell& shell);
 
 /** Takes in changed objects, wherever they come from. */
 void takeObjects(gate_shell& shell, watched_kind& kind, const std::vector<keyed_object>& objects);
 
+/** Reads all VMs of the store's list once; gossip keeps them up to date from then on. */
+void listMembers(gate_shell& shell);
+
 /** Registers this VM, reads the other VMs and keeps telling them. */
 void startGossip(gate_shell& shell);
 
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -6,6 +6,8 @@
 
 namespace lhub {
 
+/** Time after the registration in which the seeds bring other members; then the store's list is read. */
+static constexpr milliseconds SeedsTime { 1000 };
 /** Pause between two tries to register. */
 static constexpr milliseconds RegisterPause { 500 };
 /** Largest datagram: claims of gossip_limits::claimsPerMessage members. */
@@ -13,7 +15,13 @@
 
 using udp = asio::ip::udp;
 
-static void listMembers(gate_shell& shell);
+/** Reads the list of members, unless others were heard of: a call to the store for each start is dear. */
+static asio::awaitable<void> listWhenAlone(gate_shell& shell)
+{
+    co_await pauseFor(SeedsTime);
+    if (aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size() <= 1)
+        listMembers(shell);
+}
 
 static void retryLater(gate_shell& shell, void (*step)(gate_shell&))
 {
@@ -35,7 +43,7 @@
     shell.store->call(request, [&shell](const store_reply& reply) {
         if (reply.result == store_result::Done) {
             writeLine("registered", { { "vm", shell.settings.vm }, { "revision", std::to_string(reply.object.version) } }, shell.clock.now());
-            listMembers(shell);
+            asio::co_spawn(shell.context, listWhenAlone(shell), asio::detached);
             return;
         }
         if (reply.result == store_result::Conflict && reply.object.version > 0) {
@@ -47,8 +55,7 @@
     });
 }
 
-/** Reads all VMs once; gossip keeps the list up to date from then on. */
-static void listMembers(gate_shell& shell)
+void listMembers(gate_shell& shell)
 {
     store_request request;
     request.operation = store_operation::Watch;
@@ -72,6 +79,20 @@
     });
 }
 
+/** Sends one message to all @p targets. */
+static void sendTo(gate_shell& shell, udp::socket& socket, const std::vector<std::string>& targets, const std::string& message)
+{
+    for (const auto& ip : targets) {
+        error_code error;
+        const auto address = asio::ip::make_address(ip, error);
+        if (error || ip == shell.settings.ip)
+            continue;
+        socket.send_to(asio::buffer(message), udp::endpoint(address, shell.settings.gossipPort), 0, error);
+        ++(error ? shell.counters.gossipUnsent : shell.counters.gossipSent); // A lost datagram is what gossip is made for.
+        shell.counters.gossipBytes += error ? 0 : message.size();
+    }
+}
+
 static asio::awaitable<void> receiveClaims(gate_shell& shell, std::shared_ptr<udp::socket> socket)
 {
     std::string buffer(LargestDatagram, '\0');
@@ -84,22 +105,14 @@
             continue;
         ++shell.counters.gossipReceived;
         const auto claims = decodeClaims(std::string_view(buffer).substr(0, size));
-        if (!claims.empty())
-            mergeClaims(shell.state.members, claims, claims.front().vm, shell.clock.now());
-    }
-}
-
-/** Sends one message to all @p targets. */
-static void sendTo(gate_shell& shell, udp::socket& socket, const std::vector<std::string>& targets, const std::string& message)
-{
-    for (const auto& ip : targets) {
-        error_code error;
-        const auto address = asio::ip::make_address(ip, error);
-        if (error || ip == shell.settings.ip)
+        if (claims.empty())
             continue;
-        socket.send_to(asio::buffer(message), udp::endpoint(address, shell.settings.gossipPort), 0, error);
-        ++(error ? shell.counters.gossipUnsent : shell.counters.gossipSent); // A lost datagram is what gossip is made for.
-        shell.counters.gossipBytes += error ? 0 : message.size();
+        const auto now = shell.clock.now();
+        const auto known = shell.state.members.members.find(claims.front().vm);
+        const bool joins = known == shell.state.members.members.end() || !isAlive(shell.state.members, known->second, shell.state.gossip, now);
+        mergeClaims(shell.state.members, claims, claims.front().vm, now);
+        if (joins) // It knows few members, or none: it need not wait for its turn.
+            sendTo(shell, *socket, { claims.front().ip }, encodeClaims(claimsToSend(shell.state.members, shell.state.gossip, now).near));
     }
 }
 
--- a/src/serve/serve_relay.cpp
+++ b/src/serve/serve_relay.cpp
@@ -1,21 +1,34 @@
-/** @file serve_relay.cpp What VMs tell each other of the store, for those that it does not answer. */
+/** @file serve_relay.cpp What VMs tell each other of the store: to those that follow instead of watching, and to those that
+ *  the store does not answer. */
 #include "config/config_func.h"
+#include "follow/follow_func.h"
 #include "gossip/gossip_func.h"
 #include "net/http_func.h"
 #include "serve/serve_func.h"
-#include "store/http_store.h"
 
 namespace lhub {
 
-/** Between two comparisons with what other VMs know. */
+/** Between two looks at what other VMs know, and at whom to follow. */
 static constexpr milliseconds FollowPause { 250 };
-/** Time that the store's own watch has to bring what others know already: its pause for gathering and a call. */
+/** Time that the own watch has to bring what others know already: its pause for gathering and a call. */
 static constexpr milliseconds WatchGrace { 900 };
-/** Longest time of a call to another VM. */
-static constexpr milliseconds PeerCallTime { 700 };
+/** Longest wait of a call for news; its answer also shows that the other VM lives and reaches the store. */
+static constexpr milliseconds NewsWait { 1000 };
+/** Longest time of a call to another VM, without the wait. */
+static constexpr milliseconds PeerCallTime { 500 };
+/** News no older than this make watching the store needless; a call's wait and time. */
+static constexpr milliseconds NewsLife { 1600 };
+/** Pause after a failed call for news. */
+static constexpr milliseconds NewsRetryPause { 250 };
+/** Time for the answer of a seed in the same region; a further one is no sooner than the store. */
+static constexpr milliseconds JoinTime { 60 };
+/** Time in which the seeds of a first start learn of the store what the others then learn from them. */
+static constexpr milliseconds FirstJoinTime { 2000 };
 /** VMs asked at most in one round. */
 static constexpr std::size_t PeersAsked = 2;
 
+static constexpr std::string_view NewsPath = "/v1/news"; ///< What changed after given revisions; the target of calls for news.
+
 known_revisions knownRevisions(const gate_shell& shell)
 {
     known_revisions known {};
@@ -24,30 +37,157 @@
     return known;
 }
 
-/** Objects of the prefix that changed after a revision, in the protocol of our own store. */
-static http_response answerRelay(const gate_shell& shell, const std::string& target)
+void wakeFollowers(gate_shell& shell)
+{
+    const auto waiting = std::move(shell.newsWaiters);
+    shell.newsWaiters.clear();
+    for (const auto& weak : waiting) {
+        if (const auto timer = weak.lock())
+            timer->cancel();
+    }
+}
+
+/** Whether anything is known beyond @p since. */
+static bool hasNews(const gate_shell& shell, const known_revisions& since)
+{
+    const auto known = knownRevisions(shell);
+    for (std::size_t i = 0; i < known.size(); ++i) {
+        if (known[i] > since[i])
+            return true;
+    }
+    return false;
+}
+
+/** Waits until anything is known beyond @p since, or for @p wait. */
+static asio::awaitable<void> awaitNews(gate_shell& shell, const known_revisions& since, milliseconds wait)
+{
+    if (wait.count() <= 0 || hasNews(shell, since))
+        co_return;
+    const auto timer = std::make_shared<asio::steady_timer>(shell.context, wait);
+    shell.newsWaiters.push_back(timer);
+    error_code woken; // A cancelled wait means news.
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, woken));
+}
+
+/** Whether all kinds were read at least once, and the store has not been lost since. */
+static bool isInformed(const gate_shell& shell)
+{
+    return shell.storeLostAt == time_point {}
+    && std::all_of(shell.kinds.begin(), shell.kinds.end(), [](const auto& kind) { return kind && kind->listed; });
+}
+
+/** Everything that changed after the revisions in the query, by kind. */
+static asio::awaitable<http_response> answerNews(gate_shell& shell, const std::string& target)
 {
     auto query = queryOf(target);
-    const auto since = std::strtoull(query["since"].c_str(), nullptr, 10);
-    for (const auto& kind : shell.kinds) {
-        if (!kind || kind->prefix != query["prefix"])
-            continue;
+    known_revisions since {};
+    for (std::size_t i = 0; i < since.size(); ++i)
+        since[i] = std::strtoull(query["since" + std::to_string(i)].c_str(), nullptr, 10);
+    const milliseconds wait { std::strtoll(query["wait_ms"].c_str(), nullptr, 10) };
+    co_await awaitNews(shell, since, std::min(wait, NewsWait));
+    boost::json::array kinds;
+    for (std::size_t i = 0; i < since.size(); ++i) {
         boost::json::array objects;
-        for (const auto& item : objectsSince(kind->held, since))
+        for (const auto& item : objectsSince(shell.kinds[i]->held, since[i]))
             objects.push_back({ { "key", item.key }, { "version", item.object.version }, { "deleted", item.object.deleted }, { "value", item.object.value } });
-        const boost::json::value body { { "revision", kind->held.revision }, { "objects", std::move(objects) } };
-        return makeAnswer(http::status::ok, boost::json::serialize(body));
+        const auto& kind = *shell.kinds[i];
+        kinds.push_back({ { "listed", kind.listed }, { "revision", std::max(kind.revision, kind.held.revision) }, { "objects", std::move(objects) } });
     }
-    return makeProblem(http::status::not_found, "no such kind", query["prefix"]);
+    std::vector<member_claim> members;
+    if (query["members"] == "1") {
+        for (const auto* claim : aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()))
+            members.push_back(*claim);
+    }
+    const bool informed = isInformed(shell) && (shell.watchesStore || shell.clock.now() - shell.newsAt <= NewsLife);
+    co_return makeAnswer(http::status::ok, boost::json::serialize(boost::json::value { { "informed", informed }, { "kinds", std::move(kinds) }, { "members", encodeClaims(members) } }));
 }
 
 outcome<bool> startRelay(gate_shell& shell)
 {
     return startServer(shell, shell.peerAcceptor, shell.settings.peers, [&shell](const http_request& request) -> asio::awaitable<http_response> {
-        co_return answerRelay(shell, std::string(request.target()));
+        const std::string target(request.target());
+        if (pathOf(target) != NewsPath)
+            co_return makeProblem(http::status::not_found, "no such call", "");
+        auto answer = co_await answerNews(shell, target);
+        co_return answer;
     });
 }
 
+/** The objects of one kind as they travel. */
+static std::vector<keyed_object> decodeObjects(const boost::json::value& value)
+{
+    std::vector<keyed_object> objects;
+    for (const auto& item : value.as_array()) {
+        const auto& row = item.as_object();
+        keyed_object object;
+        object.key = std::string(row.at("key").as_string());
+        object.object.version = row.at("version").to_number<std::uint64_t>();
+        object.object.deleted = row.at("deleted").as_bool();
+        object.object.value = std::string(row.at("value").as_string());
+        objects.push_back(std::move(object));
+    }
+    return objects;
+}
+
+/** Takes in an answer to a call for news. @return whether the other VM is informed. */
+static bool takeNews(gate_shell& shell, const std::string& ip, const std::string& body)
+{
+    const auto parsed = parseJson(body);
+    try {
+        const auto& document = parsed.value.value().as_object();
+        const auto& kinds = document.at("kinds").as_array();
+        const bool informed = document.at("informed").as_bool();
+        const auto members = decodeClaims(document.at("members").as_string());
+        if (!members.empty())
+            mergeClaims(shell.state.members, members, members.front().vm, shell.clock.now());
+        for (std::size_t i = 0; i < shell.kinds.size(); ++i) {
+            auto& kind = *shell.kinds[i];
+            const auto& told = kinds.at(i).as_object();
+            const auto objects = decodeObjects(told.at("objects"));
+            const bool first = informed && !kind.listed;
+            kind.listed = kind.listed || informed;
+            // The other VM holds everything up to its revision, and has sent what was missing here.
+            if (told.at("listed").as_bool())
+                kind.revision = std::max(kind.revision, told.at("revision").to_number<std::uint64_t>());
+            if (objects.empty() && !first)
+                continue;
+            ++shell.counters.relays;
+            writeLine("relay", { { "from", ip }, { "kind", kind.prefix }, { "since", std::to_string(kind.held.revision) }, { "objects", std::to_string(objects.size()) } }, shell.clock.now());
+            takeObjects(shell, kind, objects);
+        }
+        return informed;
+    } catch (const std::exception& error) {
+        writeLine("relay", { { "from", ip }, { "reason", std::string("malformed: ") + error.what() } }, shell.clock.now());
+        return false;
+    }
+}
+
+/** Asks a VM for what changed. @param members whether also for the other VMs. @return whether it is informed. */
+static asio::awaitable<bool> askNews(gate_shell& shell, std::string ip, milliseconds wait, bool members)
+{
+    const auto port = shell.settings.peers.substr(shell.settings.peers.rfind(':'));
+    const auto address = parseAddress(ip + port);
+    if (!address) {
+        writeLine("relay", { { "from", ip }, { "reason", address.reason } }, shell.clock.now());
+        co_return false;
+    }
+    std::string target(NewsPath);
+    target += "?wait_ms=" + std::to_string(wait.count()) + (members ? "&members=1" : "");
+    const auto known = knownRevisions(shell);
+    for (std::size_t i = 0; i < known.size(); ++i)
+        target += "&since" + std::to_string(i) + "=" + std::to_string(known[i]);
+    http_request request(http::verb::get, target, 11);
+    request.set(http::field::host, ip);
+    ++shell.counters.newsCalls;
+    const auto reply = co_await httpCall(*address, std::move(request), wait + PeerCallTime);
+    if (reply.result != http_result::Answered || reply.response.result() != http::status::ok) {
+        ++shell.counters.newsFailures;
+        writeLine("relay", { { "from", ip }, { "reason", reply.result == http_result::Answered ? "refused" : reply.reason } }, shell.clock.now());
+        co_return false;
+    }
+    co_return takeNews(shell, ip, reply.response.body());
+}
+
 /** IPs of VMs that know more of the kind, those that know most first. */
 static std::vector<std::string> betterInformed(const gate_shell& shell, const watched_kind& kind)
 {
@@ -64,51 +204,124 @@
     return result;
 }
 
-static void askPeer(gate_shell& shell, const std::shared_ptr<watched_kind>& kind, const std::string& ip)
+/** Fetches what VMs know that know more, once the own sources had time to bring it. */
+static void catchUp(gate_shell& shell)
 {
-    const auto port = shell.settings.peers.substr(shell.settings.peers.rfind(':'));
-    auto made = makeHttpStore(shell.context.get_executor(), ip + port, PeerCallTime);
-    if (!made) {
-        writeLine("relay", { { "from", ip }, { "reason", made.reason } }, shell.clock.now());
-        return;
+    const auto now = shell.clock.now();
+    std::set<std::string> asked;
+    for (const auto& kind : shell.kinds) {
+        const auto better = betterInformed(shell, *kind);
+        if (better.empty()) {
+            kind->behindSince = {};
+            continue;
+        }
+        if (kind->behindSince == time_point {})
+            kind->behindSince = now;
+        const bool atOnce = shell.storeLostAt != time_point {} || !kind->listed;
+        if (!atOnce && now - kind->behindSince < WatchGrace)
+            continue;
+        for (std::size_t i = 0; i < better.size() && i < PeersAsked; ++i)
+            asked.insert(better[i]);
     }
-    const std::shared_ptr<store_client> peer = std::move(*made);
-    store_request request;
-    request.operation = store_operation::Watch;
-    request.key = kind->prefix;
-    request.since = kind->held.revision;
-    peer->call(request, [&shell, kind, ip, peer](const store_reply& reply) {
-        if (reply.result != store_result::Done) {
-            writeLine("relay", { { "from", ip }, { "reason", reply.reason } }, shell.clock.now());
-            return;
+    for (const auto& ip : asked) {
+        asio::co_spawn(shell.context, askNews(shell, ip, milliseconds(0), false), [](const std::exception_ptr&, bool) {});
+    }
+}
+
+/** Follows the VM of one place in the plan for as long as this VM does not watch the store itself. */
+static asio::awaitable<void> followSource(gate_shell& shell, std::size_t place)
+{
+    while (true) {
+        if (shell.plan.watches || place >= shell.plan.sources.size()) {
+            co_await pauseFor(FollowPause);
+            continue;
         }
-        if (reply.objects.empty())
-            return;
-        ++shell.counters.relays;
-        writeLine("relay", { { "from", ip }, { "kind", kind->prefix }, { "since", std::to_string(kind->held.revision) }, { "revision", std::to_string(reply.revision) }, { "objects", std::to_string(reply.objects.size()) } }, shell.clock.now());
-        takeObjects(shell, *kind, reply.objects);
-    });
+        const bool informed = co_await askNews(shell, shell.plan.sources[place], NewsWait, false);
+        if (informed)
+            shell.newsAt = shell.clock.now();
+        else
+            co_await pauseFor(NewsRetryPause);
+    }
 }
 
-asio::awaitable<void> followPeers(gate_shell& shell)
+/** Decides whether this VM watches the store. It does when those that it follows bring nothing. */
+static void decideRole(gate_shell& shell)
 {
+    const auto now = shell.clock.now();
+    shell.state.members.members.at(shell.settings.vm).claim.storeAnswers = shell.storeLostAt == time_point {};
+    auto plan = planFollow(shell.state.members, shell.state.gossip, follow_limits {}, now);
+    if (shell.plan.watches && !plan.watches)
+        shell.newsAt = now; // The first call for news has its time.
+    shell.plan = std::move(plan);
+    const bool watches = shell.plan.watches || now - shell.newsAt > NewsLife;
+    if (watches == shell.watchesStore)
+        return;
+    shell.watchesStore = watches;
+    writeLine("follow", { { "role", watches ? "watcher" : "follower" }, { "planned", shell.plan.watches ? "watcher" : "follower" } }, now);
+    for (const auto& kind : shell.kinds)
+        kind->resume.cancel();
+}
+
+/** Asks all @p ips at once and waits for the first informed answer, for @p wait at most; later answers are taken in all the same. */
+static asio::awaitable<bool> askFirst(gate_shell& shell, std::vector<std::string> ips, milliseconds wait)
+{
+    struct asking {
+        asio::steady_timer done; ///< Cancelled by the first informed answer and by the last of the others.
+        std::size_t open = 0; ///< Calls without an end.
+        bool informed = false; ///< One was informed.
+    };
+    const auto state = std::make_shared<asking>(asking { asio::steady_timer(shell.context, wait), ips.size(), false });
+    for (const auto& ip : ips) {
+        asio::co_spawn(shell.context, askNews(shell, ip, milliseconds(0), true), [state](const std::exception_ptr& error, bool informed) {
+            state->informed = state->informed || (!error && informed);
+            if (--state->open == 0 || state->informed)
+                state->done.cancel();
+        });
+    }
+    error_code woken; // A cancelled wait is the signal.
+    if (!ips.empty())
+        co_await state->done.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    co_return state->informed;
+}
+
+/** Learns from the seeds what there is to know, before the store is asked: a start costs the store little then. */
+static asio::awaitable<bool> joinBySeeds(gate_shell& shell)
+{
+    const auto until = shell.clock.now() + (shell.settings.firstStart ? FirstJoinTime : JoinTime);
+    std::vector<std::string> others;
+    bool isSeed = false;
+    for (const auto& seed : shell.settings.seeds) {
+        const auto ip = seed.substr(0, seed.rfind(':'));
+        isSeed = isSeed || ip == shell.settings.ip;
+        if (ip != shell.settings.ip)
+            others.push_back(ip);
+    }
+    if (others.empty() || (isSeed && shell.settings.firstStart))
+        co_return false; // The others learn from this VM.
+    bool joined = false;
+    while (!joined && shell.clock.now() < until) {
+        joined = co_await askFirst(shell, others, elapsed(shell.clock.now(), until));
+        if (!joined)
+            co_await pauseFor(std::min(FollowPause, elapsed(shell.clock.now(), until)));
+    }
+    co_return joined;
+}
+
+asio::awaitable<void> keepUp(gate_shell& shell)
+{
+    const bool joined = co_await joinBySeeds(shell);
+    writeLine("join", { { "by", joined ? "seed" : "store" } }, shell.clock.now());
+    if (joined)
+        decideRole(shell);
+    else if (!shell.settings.firstStart)
+        listMembers(shell);
+    startWatches(shell);
+    for (std::size_t place = 0; place < follow_limits {}.sources; ++place)
+        asio::co_spawn(shell.context, followSource(shell, place), asio::detached);
     while (true) {
         co_await pauseFor(FollowPause);
-        const auto now = shell.clock.now();
-        for (const auto& kind : shell.kinds) {
-            const auto better = betterInformed(shell, *kind);
-            if (better.empty()) {
-                kind->behindSince = {};
-                continue;
-            }
-            if (kind->behindSince == time_point {})
-                kind->behindSince = now;
-            const bool atOnce = shell.storeLostAt != time_point {} || kind->held.revision == 0;
-            if (!atOnce && now - kind->behindSince < WatchGrace)
-                continue;
-            for (std::size_t i = 0; i < better.size() && i < PeersAsked; ++i)
-                askPeer(shell, kind, better[i]);
-        }
+        decideRole(shell);
+        catchUp(shell);
     }
 }
 
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -1,6 +1,7 @@
 /** @file serve_type.h The shell of lhub-gate: sockets around the reducer. One thread. */
 #pragma once
 
+#include "follow/follow_type.h"
 #include "gate/gate_func.h"
 #include "limit/limit_func.h"
 #include "net/http_type.h"
@@ -85,7 +86,9 @@
     std::uint64_t forgotten = 0; ///< Kept connections that endpoints had forgotten.
     std::uint64_t connectionsOpened = 0; ///< New connections to endpoints.
     std::uint64_t rejectedObjects = 0; ///< Objects of the store that could not be read.
-    std::uint64_t relays = 0; ///< Times that another VM knew more than the store had told.
+    std::uint64_t relays = 0; ///< Times that another VM told something new.
+    std::uint64_t newsCalls = 0; ///< Calls to other VMs for news.
+    std::uint64_t newsFailures = 0; ///< Those without an answer.
     std::uint64_t gossipSent = 0; ///< Datagrams.
     std::uint64_t gossipUnsent = 0; ///< Datagrams that could not be sent.
     std::uint64_t gossipBytes = 0; ///< Bytes of the datagrams sent.
@@ -121,10 +124,18 @@
     std::size_t index = 0; ///< Into known_revisions.
     std::uint64_t revision = 0; ///< Where the store's watch goes on; 0: list.
     milliseconds pause { 0 }; ///< After the last failure.
+    bool listed = false; ///< It was read whole once, from the store or from another VM.
+    bool gone = false; ///< The store keeps no history from the revision held: list.
+    asio::steady_timer resume; ///< Cancelled when this VM's role changes.
     config_state held; ///< Objects as read, tombstones included; relayed to VMs that are cut off from the store.
     std::function<void(const keyed_object&)> onObject; ///< A changed or deleted object.
     std::function<void()> onBatch; ///< After each list, watch or relay.
     time_point behindSince {}; ///< Since when another VM has known more; the epoch when none does.
+
+    explicit watched_kind(asio::io_context& context)
+        : resume(context, time_point::max())
+    {
+    }
 };
 
 /** Everything of the process. Used on one thread only. */
@@ -150,6 +161,10 @@
     std::unique_ptr<store_client> store; ///< The platform's store.
     std::array<std::shared_ptr<watched_kind>, RelayedKinds> kinds; ///< What is read from the store.
     std::optional<tcp::acceptor> peerAcceptor; ///< For other VMs.
+    std::vector<std::weak_ptr<asio::steady_timer>> newsWaiters; ///< VMs that wait here for news; cancelled when there are any.
+    follow_plan plan; ///< Whether to watch the store, or whom to follow.
+    bool watchesStore = true; ///< Whether it does: the plan says so, or those that it follows bring nothing.
+    time_point newsAt {}; ///< When an informed VM last answered a call for news.
     time_point storeLostAt {}; ///< When the store was lost; the epoch while it answers.
     time_point storeBackAt {}; ///< When it answered again after that.
     std::optional<tcp::acceptor> callerAcceptor; ///< For callers; closed late in a stop.
--- a/src/serve/serve_watch.cpp
+++ b/src/serve/serve_watch.cpp
@@ -40,6 +40,7 @@
         }
     }
     kind.onBatch();
+    wakeFollowers(shell);
     shell.state.members.members.at(shell.settings.vm).claim.known = knownRevisions(shell);
 }
 
@@ -78,6 +79,13 @@
 static asio::awaitable<void> watchKind(gate_shell& shell, std::shared_ptr<watched_kind> kind)
 {
     while (true) {
+        if (!shell.watchesStore) {
+            error_code woken; // A cancelled wait means that this VM watches again.
+            co_await kind->resume.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+            continue;
+        }
+        // What other VMs told is complete up to the revision held.
+        kind->revision = kind->listed && !kind->gone ? std::max(kind->revision, kind->held.revision) : 0;
         store_request request;
         request.operation = store_operation::Watch;
         request.key = kind->prefix;
@@ -87,7 +95,7 @@
         noteStore(shell, reply);
         if (reply.result == store_result::HistoryGone) {
             writeLine("watch", { { "kind", kind->prefix }, { "outcome", "history gone, listing" } }, shell.clock.now());
-            kind->revision = 0;
+            kind->gone = true;
             continue;
         }
         if (reply.result != store_result::Done) {
@@ -96,6 +104,8 @@
             continue;
         }
         kind->pause = milliseconds(0);
+        kind->gone = false;
+        kind->listed = true;
         const bool news = !reply.objects.empty();
         takeObjects(shell, *kind, request.since == 0 ? withMissing(*kind, reply) : reply.objects);
         kind->revision = reply.revision;
@@ -166,10 +176,10 @@
     feedGate(shell, evacuations_seen { std::move(zones) });
 }
 
-/** Starts the loop of one kind. */
-static std::shared_ptr<watched_kind> startKind(gate_shell& shell, std::size_t index, std::string_view prefix)
+/** Makes one kind. */
+static std::shared_ptr<watched_kind> makeKind(gate_shell& shell, std::size_t index, std::string_view prefix)
 {
-    auto kind = std::make_shared<watched_kind>();
+    auto kind = std::make_shared<watched_kind>(shell.context);
     kind->prefix = prefix;
     kind->index = index;
     kind->onObject = [](const keyed_object&) {};
@@ -178,15 +188,19 @@
     return kind;
 }
 
-void startWatches(gate_shell& shell)
+void makeKinds(gate_shell& shell)
 {
-    const auto config = startKind(shell, 0, platform::ConfigPrefix);
+    const auto config = makeKind(shell, 0, platform::ConfigPrefix);
     config->onObject = [&shell](const keyed_object& item) { takeConfig(shell, item); };
-    const auto endpoints = startKind(shell, 1, platform::EndpointPrefix);
+    const auto endpoints = makeKind(shell, 1, platform::EndpointPrefix);
     endpoints->onObject = [&shell, weak = std::weak_ptr(endpoints)](const keyed_object& item) { takeEndpoint(shell, weak.lock(), item); };
     endpoints->onBatch = [&shell] { feedGate(shell, endpoints_listed {}); };
-    const auto evacuations = startKind(shell, 2, platform::EvacuationPrefix);
+    const auto evacuations = makeKind(shell, 2, platform::EvacuationPrefix);
     evacuations->onBatch = [&shell, weak = std::weak_ptr(evacuations)] { takeEvacuations(shell, *weak.lock()); };
+}
+
+void startWatches(gate_shell& shell)
+{
     for (const auto& kind : shell.kinds)
         asio::co_spawn(shell.context, watchKind(shell, kind), asio::detached);
 }
--- a/src/settings/gate_settings.h
+++ b/src/settings/gate_settings.h
@@ -34,6 +34,7 @@
     std::string lookups; ///< IP:port for look-ups.
     std::string peers; ///< IP:port where other entry VMs fetch the state.
     std::vector<std::string> seeds; ///< IP:port of some other VMs' peers address; may be stale.
+    bool firstStart = false; ///< The whole system starts for the first time.
     std::uint16_t gossipPort = 0; ///< UDP port of membership, the same on all VMs.
     std::string store; ///< IP:port of the platform's store.
     std::uint32_t maxDescriptors = 1024; ///< Bound on open descriptors.
--- /dev/null
+++ b/tests/test_follow.cpp
@@ -0,0 +1,92 @@
+/** @file test_follow.cpp Which VMs watch the store, and whom the others follow. */
+#include "follow/follow_func.h"
+#include "gossip/gossip_func.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace lhub;
+
+static const time_point Now { seconds(100) };
+
+/** The view of one VM of a region with @p count VMs, and of another region. */
+static member_table viewOf(unsigned self, unsigned count, const std::set<unsigned>& lost = {}, const std::set<unsigned>& dead = {})
+{
+    member_table table;
+    table.self = "vm-" + std::to_string(self);
+    table.regionOfZone = { { "a1", "a" }, { "a2", "a" }, { "b1", "b" } };
+    std::vector<member_claim> claims;
+    for (unsigned i = 0; i < count + 5; ++i) {
+        const auto vm = "vm-" + std::to_string(i);
+        const std::string zone = i >= count ? "b1" : (i % 2 ? "a1" : "a2");
+        const member_claim claim { vm, vm, zone, 1, 1, true, lost.count(i) == 0, i % 5 == 0 ? 2000U : 100U, {} };
+        if (i == self)
+            table.members[vm] = { claim, {} };
+        else if (dead.count(i) == 0)
+            claims.push_back(claim);
+    }
+    mergeClaims(table, claims, "somebody", Now);
+    return table;
+}
+
+static follow_plan planOf(unsigned self, unsigned count, const std::set<unsigned>& lost = {}, const std::set<unsigned>& dead = {})
+{
+    return planFollow(viewOf(self, count, lost, dead), gossip_limits {}, follow_limits {}, Now);
+}
+
+TEST_CASE("follow: a small region watches the store with all its VMs")
+{
+    for (unsigned count = 1; count <= 3; ++count) {
+        for (unsigned self = 0; self < count; ++self)
+            CHECK(planOf(self, count).watches);
+    }
+}
+
+TEST_CASE("follow: in a large region three VMs watch, agreed by all, and each other one follows two of them")
+{
+    rc::prop("roles", [] {
+        const auto count = *rc::gen::inRange(4U, 120U);
+        std::set<std::string> watchers;
+        for (unsigned self = 0; self < count; ++self) {
+            if (planOf(self, count).watches)
+                watchers.insert("vm-" + std::to_string(self));
+        }
+        RC_ASSERT(watchers.size() == 3);
+        for (unsigned self = 0; self < count; ++self) {
+            const auto plan = planOf(self, count);
+            if (plan.watches)
+                continue;
+            RC_ASSERT(plan.sources.size() == 2);
+            for (const auto& ip : plan.sources)
+                RC_ASSERT(watchers.count(ip) == 1);
+            RC_ASSERT(plan.sources[0] != plan.sources[1]);
+        }
+    });
+}
+
+TEST_CASE("follow: watchers that died or lost the store are replaced; when nobody is answered, everybody tries")
+{
+    std::set<unsigned> watchers;
+    for (unsigned self = 0; self < 20; ++self) {
+        if (planOf(self, 20).watches)
+            watchers.insert(self);
+    }
+    unsigned afterLoss = 0;
+    unsigned afterDeath = 0;
+    for (unsigned self = 0; self < 20; ++self) {
+        if (watchers.count(self) == 1)
+            continue;
+        afterLoss += planOf(self, 20, watchers).watches ? 1 : 0;
+        afterDeath += planOf(self, 20, {}, watchers).watches ? 1 : 0;
+        for (const auto& ip : planOf(self, 20, watchers).sources)
+            CHECK(watchers.count(static_cast<unsigned>(std::stoul(ip.substr(3)))) == 0);
+    }
+    CHECK(afterLoss == 3);
+    CHECK(afterDeath == 3);
+    std::set<unsigned> all;
+    for (unsigned i = 0; i < 20; ++i)
+        all.insert(i);
+    for (unsigned self = 0; self < 20; ++self)
+        CHECK(planOf(self, 20, all).watches);
+}
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -12,7 +12,7 @@
 
 static member_claim claimOf(const std::string& vm, const std::string& zone, std::uint64_t incarnation, std::uint64_t beat, bool serving = true)
 {
-    return { vm, "10.0.0." + vm, zone, incarnation, beat, serving, 100, { beat, 2, 3 } };
+    return { vm, "10.0.0." + vm, zone, incarnation, beat, serving, true, 100, { beat, 2, 3 } };
 }
 
 static member_table tableOf(const std::string& self, const std::string& zone)
@@ -78,7 +78,7 @@
     for (std::size_t i = 0; i < message.size(); ++i)
         CHECK(decodeClaims(std::string_view(message).substr(0, i)).empty());
     CHECK(decodeClaims("[[1,2,3,4,5,6,7,8,9]]").empty());
-    CHECK(decodeClaims("[[\"a\",\"b\",\"c\",-1,5,true,1,0,0,0]]").empty());
+    CHECK(decodeClaims("[[\"a\",\"b\",\"c\",-1,5,true,true,1,0,0,0]]").empty());
 }
 
 /** Members that gossip over a network that loses, delays and doubles datagrams. */
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -75,10 +75,12 @@
 {
     auto gate = std::make_unique<gate_shell>(rig.context, rig.clock, settings, "", makeGate(identityOf(settings), 1));
     gate->store = std::move(*platform::makeObjectStore(rig.context.get_executor(), settings.store, milliseconds(500), gate->storeCalls));
-    REQUIRE(startServers(*gate));
-    startWatches(*gate);
+    makeKinds(*gate);
+    const auto started = startServers(*gate);
+    INFO(started.reason);
+    REQUIRE(started);
     startGossip(*gate);
-    asio::co_spawn(rig.context, followPeers(*gate), asio::detached);
+    asio::co_spawn(rig.context, keepUp(*gate), asio::detached);
     return gate;
 }
 
@@ -566,3 +568,31 @@
     CHECK(count(caller->received, "HTTP/1.1 200") == 2);
     CHECK(runsOf(*rig, "next") == 1);
 }
+
+TEST_CASE("serve: in a large region some VMs follow others instead of watching the store, and watch it when those fall silent")
+{
+    auto rig = makeRig(1);
+    std::vector<std::unique_ptr<gate_shell>> others;
+    std::vector<gate_shell*> gates { rig->gate.get() };
+    for (int i = 2; i <= 6; ++i) {
+        auto settings = settingsAt(*rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
+        settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
+        others.push_back(startGate(*rig, settings));
+        gates.push_back(others.back().get());
+    }
+    const auto watching = [&] { return std::count_if(gates.begin(), gates.end(), [](const auto* gate) { return gate->watchesStore; }); };
+    runUntil(*rig, [&] { return watching() == 3; });
+    for (const auto& gate : others)
+        CHECK(gate->storeCalls.reads == 0); // They joined by the seed.
+    changeLimits(*rig, "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":9000");
+    runUntil(*rig, [&] { return std::all_of(gates.begin(), gates.end(), [](const auto* gate) { return gate->state.routes->config.version == 2; }); });
+    CHECK(watching() == 3);
+    for (auto* gate : gates) {
+        error_code ignored; // Whether it was open does not matter.
+        if (gate->watchesStore)
+            gate->peerAcceptor->close(ignored);
+    }
+    runUntil(*rig, [&] { return watching() == 6; });
+    removeObject(*rig->store, "servers", "e0");
+    runUntil(*rig, [&] { return std::all_of(gates.begin(), gates.end(), [](const auto* gate) { return gate->state.endpoints.empty(); }); });
+}
