--- a/src/bench/load_play.h
+++ b/src/bench/load_play.h
@@ -1,6 +1,7 @@
 /** @file load_play.h Plays callers and endpoints against the reducer of lhub-gate, in simulated time. */
 #pragma once
 
+#include "admit/admit_type.h"
 #include "core/time_type.h"
 #include <cstdint>
 #include <string>
@@ -32,6 +33,8 @@
     double slow = 1; ///< Factor on the work of the affected endpoints.
     double shed = 0; ///< Part of their requests that they refuse.
     unsigned every = 4; ///< Each so-manieth endpoint is affected.
+    bool gone = false; ///< They take nothing, and all VMs know it.
+    double burst = 1; ///< Factor on all requests a second meanwhile.
 };
 
 /** What is played. */
@@ -40,6 +43,8 @@
     play_policy policy = play_policy::Gate; ///< Who decides.
     double load = 1; ///< Factor on all requests a second.
     std::vector<play_fault> faults; ///< What goes wrong.
+    admit_rules admission; ///< Of the gate.
+    double lateWorth = 0.2; ///< Worth of a late answer; one on time is worth 1.
     unsigned slots = 3; ///< Requests that an endpoint serves at the same time.
     unsigned queue = 9; ///< Requests that wait there at most.
     unsigned remembered = 32; ///< Objects that an endpoint remembers.
@@ -63,6 +68,7 @@
     unsigned arrivals = 0; ///< Arrivals at endpoints.
     unsigned rejected = 0; ///< Arrivals that endpoints refused.
     unsigned slowestRefusalMs = 0; ///< Longest time that a refused request was held.
+    std::vector<double> worthBySecond; ///< Worth earned by the requests of each second, relative to all of them.
     std::vector<double> onTimeByZone; ///< Part answered on time, in the order of the zones.
 };
 
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -1,6 +1,7 @@
 /** @file gate_request.cpp The life of a request: placing, sending, retrying, answering. */
 #include "gate/gate_internal.h"
 
+#include "admit/admit_func.h"
 #include "core/hash.h"
 #include "gossip/gossip_func.h"
 #include "limit/limit_func.h"
@@ -134,9 +135,11 @@
         giveUp(gate, now, id, static_cast<double>(LeastRetryAfter.count()), "no endpoint can take it", effects);
         return;
     }
-    const double left = msOf(request.deadline - now - WayBack);
-    if (choice->expectedMs > left) {
-        giveUp(gate, now, id, choice->waitMs, "cannot be served in time", effects);
+    const auto verdict = admitRequest({ choice->waitMs, choice->expectedMs, msOf(request.deadline - now - WayBack),
+                                          std::max(0.0, msOf(request.arrived + request.rules->objective - now)), msOf(request.rules->objective) },
+        gate.admission);
+    if (verdict != admit_verdict::Send) {
+        giveUp(gate, now, id, choice->waitMs, verdict == admit_verdict::Hopeless ? "cannot be served in time" : "the queue is too long", effects);
         return;
     }
     if (request.reached > 0)
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -1,6 +1,7 @@
 /** @file gate_type.h The state of lhub-gate: routes, endpoints, members and open requests of one entry VM. */
 #pragma once
 
+#include "admit/admit_type.h"
 #include "core/verdict_type.h"
 #include "gossip/gossip_type.h"
 #include "health/health_type.h"
@@ -91,6 +92,7 @@
 /** Everything that the reducer works on. */
 struct gate_state {
     gate_identity self; ///< Who and where.
+    admit_rules admission; ///< Settings of admission.
     gossip_limits gossip; ///< Settings of membership.
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::uint64_t configRevision = 0; ///< Store revision of the configuration.
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -160,6 +160,30 @@
     CHECK(ours.onTime + ours.late > least.onTime + least.late);
 }
 
+/** A load that cannot be served on time, as the users' heaviest days have them. */
+static std::vector<play_settings> overloads()
+{
+    auto steady = threeRegions();
+    steady.load = 1.5;
+    auto burst = threeRegions();
+    burst.faults = { { seconds(8), seconds(13), 1, 0, 1, false, 1.7 } };
+    auto gone = threeRegions();
+    gone.faults = { { seconds(8), seconds(14), 1, 0, 3, true, 1.4 } };
+    return { steady, burst, gone };
+}
+
+TEST_CASE("under overload short queues serve more callers on time, and refuse hardly more, than queues up to the deadline")
+{
+    for (auto settings : overloads()) {
+        const auto bounded = playLoad(settings);
+        settings.admission.mostWait = 1000; // No bound.
+        const auto unbounded = playLoad(settings);
+        CAPTURE(bounded.onTime, bounded.late, bounded.refused, unbounded.onTime, unbounded.late, unbounded.refused, bounded.asked);
+        CHECK(onTimePart(bounded) > 1.1 * onTimePart(unbounded));
+        CHECK(bounded.refused < unbounded.refused + bounded.asked / 20);
+    }
+}
+
 TEST_CASE("requests that may run once never run twice, whatever endpoints refuse")
 {
     auto settings = threeRegions();
