--- a/src/follow/follow.cpp
+++ b/src/follow/follow.cpp
@@ -23,6 +23,17 @@
     return result;
 }
 
+bool isLagging(follow_lag& lag, std::uint64_t held, std::uint64_t known, milliseconds grace, time_point now)
+{
+    if (lag.revision != 0 && held >= lag.revision)
+        lag = {};
+    if (known <= held)
+        return false;
+    if (lag.revision == 0)
+        lag = { now, known };
+    return now - lag.since >= grace;
+}
+
 follow_plan planFollow(const member_table& table, const gossip_limits& gossip, const follow_limits& limits, time_point now)
 {
     std::vector<const member_claim*> answered;
--- a/src/follow/follow_func.h
+++ b/src/follow/follow_func.h
@@ -14,4 +14,11 @@
  */
 follow_plan planFollow(const member_table& table, const gossip_limits& gossip, const follow_limits& limits, time_point now);
 
+/**
+ * Whether a change that others know has been missing for @p grace. Newer changes do not prolong the wait, and a change that
+ * has come ends it, so that steady changes elsewhere make nobody ask. Not thread safe.
+ * @param held newest revision held here. @param known newest revision that others know; 0 when nobody knows more.
+ */
+bool isLagging(follow_lag& lag, std::uint64_t held, std::uint64_t known, milliseconds grace, time_point now);
+
 } // namespace lhub
--- a/src/follow/follow_type.h
+++ b/src/follow/follow_type.h
@@ -1,7 +1,9 @@
 /** @file follow_type.h Which VMs watch the store, and whom the others follow. */
 #pragma once
 
+#include "core/time_type.h"
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -19,4 +21,10 @@
     std::vector<std::string> sources; ///< IPs of the watchers that it follows otherwise.
 };
 
+/** A change that other VMs know and this one does not. */
+struct follow_lag {
+    time_point since {}; ///< When others were first seen to know it.
+    std::uint64_t revision = 0; ///< The change; 0 when nothing is missing.
+};
+
 } // namespace lhub
--- a/src/serve/serve_relay.cpp
+++ b/src/serve/serve_relay.cpp
@@ -24,6 +24,8 @@
 static constexpr milliseconds JoinTime { 60 };
 /** Time in which the seeds of a first start learn of the store what the others then learn from them. */
 static constexpr milliseconds FirstJoinTime { 2000 };
+/** Largest state that a VM hands to others at their start: many start at once, and links may have 10 Mbit/s. */
+static constexpr std::size_t MostJoinBytes = 262'144;
 /** VMs asked at most in one round. */
 static constexpr std::size_t PeersAsked = 2;
 
@@ -76,6 +78,17 @@
     && std::all_of(shell.kinds.begin(), shell.kinds.end(), [](const auto& kind) { return kind && kind->listed; });
 }
 
+/** Size of everything that is held. */
+static std::size_t heldBytes(const gate_shell& shell)
+{
+    std::size_t bytes = 0;
+    for (const auto& kind : shell.kinds) {
+        for (const auto& [key, object] : kind->held.objects)
+            bytes += key.size() + object.value.size();
+    }
+    return bytes;
+}
+
 /** Everything that changed after the revisions in the query, by kind. */
 static asio::awaitable<http_response> answerNews(gate_shell& shell, const std::string& target)
 {
@@ -85,6 +98,8 @@
         since[i] = std::strtoull(query["since" + std::to_string(i)].c_str(), nullptr, 10);
     const milliseconds wait { std::strtoll(query["wait_ms"].c_str(), nullptr, 10) };
     co_await awaitNews(shell, since, std::min(wait, NewsWait));
+    if (since == known_revisions {} && heldBytes(shell) > MostJoinBytes)
+        co_return makeProblem(http::status::payload_too_large, "the store has more room for this", "");
     boost::json::array kinds;
     for (std::size_t i = 0; i < since.size(); ++i) {
         boost::json::array objects;
@@ -188,20 +203,17 @@
     co_return takeNews(shell, ip, reply.response.body());
 }
 
-/** IPs of VMs that know more of the kind, those that know most first. */
-static std::vector<std::string> betterInformed(const gate_shell& shell, const watched_kind& kind)
+/** VMs that know more of the kind: those of the own region first, since bytes between regions are dear, then those that know most. */
+static std::vector<const member_claim*> betterInformed(const gate_shell& shell, const watched_kind& kind)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> found;
+    std::vector<const member_claim*> found;
     for (const auto* member : aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now())) {
         if (member->vm != shell.settings.vm && member->known[kind.index] > kind.held.revision)
-            found.emplace_back(member->known[kind.index], member->ip);
+            found.push_back(member);
     }
-    std::sort(found.rbegin(), found.rend());
-    std::vector<std::string> result;
-    result.reserve(found.size());
-    for (const auto& [revision, ip] : found)
-        result.push_back(ip);
-    return result;
+    const auto rank = [&](const member_claim* claim) { return std::pair(isSameRegion(shell.state.members, claim->zone), claim->known[kind.index]); };
+    std::sort(found.begin(), found.end(), [&](const auto* a, const auto* b) { return rank(a) > rank(b); });
+    return found;
 }
 
 /** Fetches what VMs know that know more, once the own sources had time to bring it. */
@@ -211,17 +223,12 @@
     std::set<std::string> asked;
     for (const auto& kind : shell.kinds) {
         const auto better = betterInformed(shell, *kind);
-        if (better.empty()) {
-            kind->behindSince = {};
-            continue;
-        }
-        if (kind->behindSince == time_point {})
-            kind->behindSince = now;
+        const auto known = better.empty() ? 0 : better.front()->known[kind->index];
         const bool atOnce = shell.storeLostAt != time_point {} || !kind->listed;
-        if (!atOnce && now - kind->behindSince < WatchGrace)
+        if (!isLagging(kind->lag, kind->held.revision, known, atOnce ? milliseconds(0) : WatchGrace, now))
             continue;
         for (std::size_t i = 0; i < better.size() && i < PeersAsked; ++i)
-            asked.insert(better[i]);
+            asked.insert(better[i]->ip);
     }
     for (const auto& ip : asked) {
         asio::co_spawn(shell.context, askNews(shell, ip, milliseconds(0), false), [](const std::exception_ptr&, bool) {});
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -130,7 +130,7 @@
     config_state held; ///< Objects as read, tombstones included; relayed to VMs that are cut off from the store.
     std::function<void(const keyed_object&)> onObject; ///< A changed or deleted object.
     std::function<void()> onBatch; ///< After each list, watch or relay.
-    time_point behindSince {}; ///< Since when another VM has known more; the epoch when none does.
+    follow_lag lag; ///< What other VMs know and this one does not.
 
     explicit watched_kind(asio::io_context& context)
         : resume(context, time_point::max())
--- a/tests/test_follow.cpp
+++ b/tests/test_follow.cpp
@@ -90,3 +90,19 @@
     for (unsigned self = 0; self < 20; ++self)
         CHECK(planOf(self, 20, all).watches);
 }
+
+TEST_CASE("follow: a change that others know is fetched after the grace, steady changes that come in time never are")
+{
+    const milliseconds grace { 900 };
+    follow_lag lag;
+    CHECK_FALSE(isLagging(lag, 10, 12, grace, Now));
+    CHECK_FALSE(isLagging(lag, 10, 20, grace, Now + milliseconds(800)));
+    CHECK(isLagging(lag, 10, 30, grace, Now + milliseconds(900))); // Newer changes do not prolong the wait.
+    CHECK_FALSE(isLagging(lag, 12, 31, grace, Now + milliseconds(901))); // It has come; the next one has its own time.
+    follow_lag steady;
+    for (std::uint64_t i = 0; i < 100; ++i) // Every change comes half a second after others know it.
+        CHECK_FALSE(isLagging(steady, 10 + i, 15 + i, grace, Now + i * milliseconds(100)));
+    follow_lag lost;
+    CHECK(isLagging(lost, 0, 5, milliseconds(0), Now));
+    CHECK_FALSE(isLagging(lost, 5, 0, milliseconds(0), Now));
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -235,3 +235,16 @@
     for (const auto* field : { "vm", "ip", "zone", "region", "zones", "callers", "ready", "lookups", "peers", "seeds", "gossip_port", "store", "max_descriptors", "memory_mb", "bounds" })
         CHECK(text.str().find("\"" + std::string(field) + "\"") != std::string::npos);
 }
+
+TEST_CASE("a list goes on at the page that the store refused for its rate")
+{
+    store_rig rig;
+    rig.store->faults.pageSize = 1;
+    rig.store->faults.limitReads = 4;
+    for (int i = 0; i < 6; ++i)
+        putObject(*rig.store, "things", "name " + std::to_string(i), { { "n", i } });
+    const auto listed = callNow(rig, watchOf(0, milliseconds(0)));
+    REQUIRE(listed.result == store_result::Done);
+    CHECK(listed.objects.size() == 6);
+    CHECK(rig.counts.reads == 10); // Six pages, four of them twice.
+}
