Fix: Look-ups could name dead VMs of other regions for too long; a signal during the start ended lhub-gate

Causes. - A claim that others passed on made its VM look young again: a dead VM of another region could count as alive for eight seconds and the claim's way, where look-ups may name it for seven. Claims carry their age now; own region 4.5 s, others 6.5 s. The signals are ignored first of all now; the soak sends none in the first 50 ms, in which no program can.

--- a/soak/soak_step.cpp
+++ b/soak/soak_step.cpp
@@ -11,6 +11,7 @@
 static constexpr milliseconds DrainTime { 2500 }; ///< After it a leaving endpoint gets nothing.
 static constexpr milliseconds EvacuationTime { 5000 }; ///< The same for a zone that is emptied.
 static constexpr milliseconds LateSlack { 500 }; ///< Way of a request that was sent in time.
+static constexpr milliseconds LoadTime { 50 }; ///< A process is loaded; before that no program can keep a signal from ending it.
 static constexpr milliseconds RollPause { 900 }; ///< Between two VMs of a rolling restart.
 
 static soak_gate& gateOf(soak_world& world, const soak_step& step) { return world.gates[step.target % world.gates.size()]; }
@@ -178,7 +179,8 @@
         co_await pauseGate(gate, step.length);
         break;
     case step_kind::HangUpGate:
-        signalGate(gate, SIGHUP);
+        if (std::chrono::steady_clock::now() - gate.startedAt > LoadTime)
+            signalGate(gate, SIGHUP);
         break;
     case step_kind::RollGates:
         for (auto& each : world.gates) {
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -42,6 +42,7 @@
     std::shared_ptr<soak_path> storePath; ///< Before the store.
     int pid = 0; ///< 0 while it does not run.
     unsigned starts = 0; ///< Starts so far.
+    time_point startedAt {}; ///< The last one.
     bool expectedEnd = false; ///< Its end was asked for.
 };
 
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -20,7 +20,7 @@
     gate_state gate;
     gate.members.self = self.vm;
     gate.members.regionOfZone = self.regionOfZone;
-    gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false, true, carriedBy(self.size), {} }, {} };
+    gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false, true, carriedBy(self.size), milliseconds(0), {} }, {} };
     gate.self = std::move(self);
     return gate;
 }
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -7,7 +7,7 @@
 
 namespace lhub {
 
-static constexpr std::size_t FixedCells = 8; ///< Cells of a row before the revisions.
+static constexpr std::size_t FixedCells = 9; ///< Cells of a row before the revisions.
 static constexpr std::uint64_t RetryDeadEvery = 4; ///< Rounds between two messages to a dead member.
 
 void mergeClaims(member_table& table, const std::vector<member_claim>& claims, std::string_view from, time_point now)
@@ -24,7 +24,7 @@
             continue;
         known.claim = claim;
         if (!from.empty())
-            known.heard = now;
+            known.heard = now - claim.age;
     }
 }
 
@@ -62,7 +62,7 @@
 }
 
 /** Members in an order that differs from round to round and from VM to VM. */
-using member_draws = std::vector<std::pair<std::uint64_t, const member_claim*>>;
+using member_draws = std::vector<std::pair<std::uint64_t, const gossip_member*>>;
 
 /** Sorts the members into alive ones of the own region, alive ones of others, and dead ones. */
 struct drawn_members {
@@ -79,7 +79,7 @@
             continue;
         const bool alive = isAlive(table, member, limits, now);
         auto& list = !alive ? drawn.dead : (isFar(table, member) ? drawn.far : drawn.near);
-        list.emplace_back(stableHash(name, stableHash(table.self, turn)), &member.claim);
+        list.emplace_back(stableHash(name, stableHash(table.self, turn)), &member);
     }
     for (auto* list : { &drawn.near, &drawn.far, &drawn.dead })
         std::sort(list->begin(), list->end());
@@ -92,21 +92,29 @@
     const auto drawn = drawMembers(table, limits, table.round, now);
     gossip_targets result;
     for (std::size_t i = 0; i < drawn.near.size() && i < limits.fanout; ++i)
-        result.near.push_back(drawn.near[i].second->ip);
+        result.near.push_back(drawn.near[i].second->claim.ip);
     const bool lonely = drawn.near.size() < limits.fanout;
     if (!drawn.far.empty() && (lonely || table.round % limits.farEvery == 0))
-        result.far.push_back(drawn.far.front().second->ip);
+        result.far.push_back(drawn.far.front().second->claim.ip);
     const bool retryDead = drawn.near.size() + drawn.far.size() < limits.fanout || table.round % RetryDeadEvery == 0;
     for (std::size_t i = 0; retryDead && i < drawn.dead.size() && i < limits.fanout; ++i)
-        result.far.push_back(drawn.dead[i].second->ip);
+        result.far.push_back(drawn.dead[i].second->claim.ip);
     return result;
 }
 
 /** Appends up to @p most of the claims, never more than fit into a message. */
-static void appendClaims(std::vector<member_claim>& claims, const member_draws& from, std::size_t most, const gossip_limits& limits)
+static void appendClaims(std::vector<member_claim>& claims, const member_table& table, const member_draws& from, std::size_t most, const gossip_limits& limits, time_point now)
 {
-    for (std::size_t i = 0; i < from.size() && i < most && claims.size() < limits.claimsPerMessage; ++i)
-        claims.push_back(*from[i].second);
+    for (std::size_t i = 0; i < from.size() && i < most && claims.size() < limits.claimsPerMessage; ++i) {
+        claims.push_back(claimNow(table, from[i].second->claim, now));
+    }
+}
+
+member_claim claimNow(const member_table& table, const member_claim& claim, time_point now)
+{
+    auto result = claim;
+    result.age = claim.vm == table.self ? milliseconds(0) : elapsed(table.members.at(claim.vm).heard, now);
+    return result;
 }
 
 gossip_messages claimsToSend(member_table& table, const gossip_limits& limits, time_point now)
@@ -115,18 +123,35 @@
     ++self.beat;
     const auto drawn = drawMembers(table, limits, self.beat, now);
     gossip_messages messages { { self }, { self } };
-    appendClaims(messages.near, drawn.far, limits.farClaims, limits);
-    appendClaims(messages.near, drawn.near, limits.claimsPerMessage, limits);
-    appendClaims(messages.far, drawn.near, limits.farClaims, limits);
-    appendClaims(messages.far, drawn.far, limits.farClaims, limits);
+    appendClaims(messages.near, table, drawn.far, limits.farClaims, limits, now);
+    appendClaims(messages.near, table, drawn.near, limits.claimsPerMessage, limits, now);
+    appendClaims(messages.far, table, drawn.near, limits.farClaims, limits, now);
+    appendClaims(messages.far, table, drawn.far, limits.farClaims, limits, now);
     return messages;
 }
 
+std::optional<std::vector<member_claim>> replyToJoin(const member_table& table, const std::vector<member_claim>& claims, const gossip_limits& limits, time_point now)
+{
+    if (claims.empty())
+        return std::nullopt;
+    const auto& joins = claims.front();
+    const auto known = table.members.find(joins.vm);
+    if (known != table.members.end() && isAlive(table, known->second, limits, now))
+        return std::nullopt;
+    std::vector<member_claim> reply { claimNow(table, table.members.at(table.self).claim, now) };
+    for (const auto* claim : aliveMembers(table, limits, now)) {
+        const bool wanted = claim->vm != table.self && regionOf(table, claim->zone) == regionOf(table, joins.zone);
+        if (wanted && reply.size() < limits.claimsPerMessage)
+            reply.push_back(claimNow(table, *claim, now));
+    }
+    return reply;
+}
+
 std::string encodeClaims(const std::vector<member_claim>& claims)
 {
     json::array rows;
     for (const auto& claim : claims) {
-        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving, claim.storeAnswers, claim.carries };
+        json::array row { claim.vm, claim.ip, claim.zone, claim.incarnation, claim.beat, claim.serving, claim.storeAnswers, claim.carries, claim.age.count() };
         for (const auto revision : claim.known)
             row.emplace_back(revision);
         rows.push_back(std::move(row));
@@ -154,10 +179,13 @@
         if (error)
             return {};
         const auto carries = cells[7].to_number<std::uint32_t>(error);
+        if (error)
+            return {};
+        const auto age = cells[8].to_number<std::int64_t>(error);
         if (error)
             return {};
         member_claim claim { std::string(cells[0].get_string()), std::string(cells[1].get_string()),
-            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), cells[6].get_bool(), carries, {} };
+            std::string(cells[2].get_string()), incarnation, beat, cells[5].get_bool(), cells[6].get_bool(), carries, std::max(milliseconds(0), milliseconds(age)), {} };
         for (std::size_t kind = 0; kind < RelayedKinds; ++kind) {
             claim.known[kind] = cells[FixedCells + kind].to_number<std::uint64_t>(error);
             if (error)
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -26,13 +26,14 @@
     bool serving = false; ///< Callers may be sent to it.
     bool storeAnswers = true; ///< The store answers it, as far as it knows; false once it was lost.
     std::uint32_t carries = 1; ///< Requests a second that it can carry.
+    milliseconds age { 0 }; ///< Time since it said so, over all VMs that passed it on.
     known_revisions known; ///< What it knows of the store.
 };
 
 /** A member as this VM knows it. */
 struct gossip_member {
     member_claim claim; ///< The newest claim.
-    time_point heard {}; ///< When its beat last rose here; the epoch when never.
+    time_point heard {}; ///< When it made its newest beat known here; the epoch when never.
 };
 
 /** All members that this VM knows, itself included. */
@@ -62,8 +63,8 @@
     std::uint32_t farEvery = 2; ///< Rounds between two messages to one member of another region: bytes between regions are dear.
     std::uint32_t claimsPerMessage = 128; ///< Claims in one message at most; about ten kilobytes.
     std::uint32_t farClaims = 8; ///< Claims of other regions among them; a message to another region has as many of the own one, and no more.
-    milliseconds deadAfter { 3500 }; ///< Silence after which a member counts as dead: seven rounds, for links that lose a fifth.
-    milliseconds farDeadAfter { 8000 }; ///< The same for members of other regions: their claims come a fifth as often.
+    milliseconds deadAfter { 4500 }; ///< Age of the newest beat at which a member counts as dead: nine rounds, for links that lose a fifth.
+    milliseconds farDeadAfter { 6500 }; ///< The same for members of other regions: their claims come a fifth as often. Look-ups may name the dead for 7 s.
 };
 
 } // namespace lhub
--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -53,9 +53,6 @@
         if (!error)
             asio::co_spawn(context, stopGracefully(shell), asio::detached);
     });
-    // The settings file is looked at all the time; the signal only must not end the process.
-    std::signal(SIGHUP, SIG_IGN);
-    std::signal(SIGPIPE, SIG_IGN);
     context.run();
     return 0;
 }
@@ -64,6 +61,9 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: a signal during the start must not end the process. The settings file is looked at all the time.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     CLI::App app("laburnumhub entry VM on the platform: look-ups and forwarding in one process");
     std::string given;
     bool checkOnly = false;
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -108,11 +108,10 @@
         if (claims.empty())
             continue;
         const auto now = shell.clock.now();
-        const auto known = shell.state.members.members.find(claims.front().vm);
-        const bool joins = known == shell.state.members.members.end() || !isAlive(shell.state.members, known->second, shell.state.gossip, now);
+        const auto reply = replyToJoin(shell.state.members, claims, shell.state.gossip, now);
         mergeClaims(shell.state.members, claims, claims.front().vm, now);
-        if (joins) // It knows few members, or none: it need not wait for its turn.
-            sendTo(shell, *socket, { claims.front().ip }, encodeClaims(claimsToSend(shell.state.members, shell.state.gossip, now).near));
+        if (reply)
+            sendTo(shell, *socket, { claims.front().ip }, encodeClaims(*reply));
     }
 }
 
--- a/src/serve/serve_relay.cpp
+++ b/src/serve/serve_relay.cpp
@@ -111,7 +111,7 @@
     std::vector<member_claim> members;
     if (query["members"] == "1") {
         for (const auto* claim : aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()))
-            members.push_back(*claim);
+            members.push_back(claimNow(shell.state.members, *claim, shell.clock.now()));
     }
     const bool informed = isInformed(shell) && (shell.watchesStore || shell.clock.now() - shell.newsAt <= NewsLife);
     co_return makeAnswer(http::status::ok, boost::json::serialize(boost::json::value { { "informed", informed }, { "kinds", std::move(kinds) }, { "members", encodeClaims(members) } }));
