--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -34,6 +34,22 @@
 /** Starts a server of small messages at @p address. Fails with the reason. */
 outcome<bool> startServer(gate_shell& shell, std::optional<tcp::acceptor>& acceptor, const std::string& address, http_handler handler);
 
+/** What callers may send, by the configuration in force. */
+caller_limits limitsOf(const gate_shell& shell);
+
+/** Closes a caller's connection. */
+void closeCaller(caller_connection& caller);
+
+/** Ends a connection so that an answer in progress cannot look complete. */
+void resetCaller(caller_connection& caller);
+
+/** Waits until something about the connection has changed, and makes those that wait look again. */
+asio::awaitable<void> awaitChange(caller_connection& caller);
+void wakeCaller(caller_connection& caller);
+
+/** Writes answers in the order of the requests until the connection ends. */
+asio::awaitable<void> writeCaller(gate_shell& shell, std::shared_ptr<caller_connection> caller);
+
 /** Accepts callers until the acceptor is closed. */
 asio::awaitable<void> acceptCallers(gate_shell& shell);
 
