--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -558,7 +558,9 @@
     changeLimits(*rig, "\"max_body_bytes\":5000", "\"max_body_bytes\":20000000");
     rig->endpoints[0]->behaviour = endpoint_behaviour::Early;
     const auto caller = connectCaller(*rig);
-    const auto request = post("/write/x", "long", std::string(15'000'000, 'b')); // More than sockets hold.
+    std::string body;
+    body.resize(15'000'000, 'b'); // More than sockets hold.
+    const auto request = post("/write/x", "long", body);
     asio::async_write(caller->socket, asio::buffer(request), [](const error_code&, std::size_t) {});
     awaitAnswers(*rig, *caller, 1);
     CHECK(caller->received.find("HTTP/1.1 200") == 0);
