Fix: Calls for news that ended without any left a timer behind until the next change

Cause: a VM kept the timers of all waiting calls and dropped them only when there was news; on a quiet store 20 followers would leave some 40 of them a second. Found by reading the change.

--- a/src/serve/serve_relay.cpp
+++ b/src/serve/serve_relay.cpp
@@ -65,6 +65,7 @@
 {
     if (wait.count() <= 0 || hasNews(shell, since))
         co_return;
+    std::erase_if(shell.newsWaiters, [](const auto& weak) { return weak.expired(); });
     const auto timer = std::make_shared<asio::steady_timer>(shell.context, wait);
     shell.newsWaiters.push_back(timer);
     error_code woken; // A cancelled wait means news.
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -598,3 +598,19 @@
     removeObject(*rig->store, "servers", "e0");
     runUntil(*rig, [&] { return std::all_of(gates.begin(), gates.end(), [](const auto* gate) { return gate->state.endpoints.empty(); }); });
 }
+
+TEST_CASE("serve: calls for news that end without any leave nothing behind")
+{
+    auto rig = makeRig(1);
+    const auto peers = rig->gate->peerAcceptor->local_endpoint();
+    for (int i = 0; i < 20; ++i) {
+        bool ended = false;
+        http_request request(http::verb::get, "/v1/news?since0=999999&since1=999999&since2=999999&wait_ms=1", 11);
+        asio::co_spawn(rig->context, httpCall(peers, request, seconds(5)), [&](const std::exception_ptr&, const http_reply& reply) {
+            CHECK(reply.response.result() == http::status::ok);
+            ended = true;
+        });
+        runUntil(*rig, [&] { return ended; });
+    }
+    CHECK(rig->gate->newsWaiters.size() <= 1);
+}
