--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -73,6 +73,9 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // The sockets of this process are not for the child: it would keep connections open that have ended here.
+    static constexpr int FirstSocket = 3;
+    posix_spawn_file_actions_addclosefrom_np(&actions, FirstSocket);
     const int error = posix_spawn(&gate.pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
