Fix: Requests whose callers had left were sent on; answers without end; a refusal without an id was taken as proof

The process read request and end of the connection together and sent the request on first. Ruled out: a send under way, and a wait behind another request of the connection (one request). Now the kernel is asked whether the caller has left when its request was read, and again when a new connection to the endpoint is ready.

Answers without end: the heads of chunks and trailers had no bound at all, memory grew until the deadline (over 20 MB in 2 s); a chunked body was relayed for as long as its caller stayed; provisional answers and answers to former requests were read until the deadline. Unparsed bytes, provisional answers, skipped bytes and the time beyond the deadline are bounded now. An order whose caller had left held a silent endpoint's connection for ever; it is ended a second after its deadline.

A refusal with proof but without an id counted as this request's on any connection. On one that was used before it may be a late copy, and the request runs: now it proves something only where nothing else could have been answered.

--- a/src/serve/serve_answer.cpp
+++ b/src/serve/serve_answer.cpp
@@ -82,11 +82,12 @@
     while (!error && more) {
         bool read = true;
         caller.writeUntil = time_point::max();
-        attempt.readUntil = std::max(attempt.command.deadline, shell.clock.now() + StreamSilence);
+        attempt.readUntil = std::min(std::max(attempt.command.deadline, shell.clock.now() + StreamSilence), attempt.command.deadline + patience);
         if (attempt.body.empty())
             read = co_await readMore(attempt);
         if (!read)
             co_return false;
+        attempt.readUntil = time_point::max();
         caller.writeUntil = shell.clock.now() + patience;
         more = !attempt.parser->is_done();
         response.body().data = attempt.body.empty() ? nullptr : attempt.body.data();
@@ -169,6 +170,10 @@
 /** The request has ended for its caller. */
 static void forgetExchange(gate_shell& shell, const gate_exchange& exchange)
 {
+    for (const auto& [id, attempt] : exchange.attempts) {
+        if (!attempt->reported)
+            shell.orphans.push_back(attempt);
+    }
     shell.bodyBytes -= exchange.request.body().size();
     shell.exchanges.erase(exchange.id);
 }
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -9,6 +9,12 @@
 
 /** Answers of former requests that are skipped on one connection before it is given up. */
 static constexpr int MostStrayAnswers = 2;
+/** Provisional answers that are read past for one request; more are a malfunction. */
+static constexpr int MostProvisionalAnswers = 8;
+/** Bytes of a former request's answer that are skipped before the connection is given up. */
+static constexpr std::size_t MostStrayBytes = 1'048'576;
+/** Beyond its deadline, an attempt that nobody waits for is ended; endpoints stop work at the deadline. */
+static constexpr milliseconds OrphanTime { 1000 };
 /** Kept this much shorter than the endpoint announces, for its clock and the way there. */
 static constexpr milliseconds KeepAliveMargin { 1500 };
 /** Used when the endpoint announces nothing. */
@@ -111,14 +117,16 @@
 static asio::awaitable<error_code> readHead(gate_attempt& attempt, bool headRequest)
 {
     error_code error;
-    do {
+    for (int provisional = 0; provisional <= MostProvisionalAnswers; ++provisional) {
         attempt.parser.emplace();
         attempt.parser->body_limit(boost::none);
         attempt.parser->skip(headRequest);
         co_await http::async_read_header(attempt.connection->socket, attempt.connection->buffer, *attempt.parser,
             asio::redirect_error(asio::use_awaitable, error));
-    } while (!error && attempt.parser->get().result_int() < 200);
-    co_return error;
+        if (error || attempt.parser->get().result_int() >= 200)
+            co_return error;
+    }
+    co_return http::make_error_code(http::error::bad_status);
 }
 
 asio::awaitable<bool> readMore(gate_attempt& attempt)
@@ -143,11 +151,13 @@
 /** Reads the rest of an answer that belongs to a former request, without keeping it. */
 static asio::awaitable<bool> skipBody(gate_attempt& attempt)
 {
+    std::size_t skipped = 0;
     while (!attempt.parser->is_done()) {
         const bool read = co_await readMore(attempt);
-        if (!read)
-            co_return false;
+        skipped += attempt.body.size();
         attempt.body.clear();
+        if (!read || skipped > MostStrayBytes)
+            co_return false;
     }
     co_return true;
 }
@@ -156,6 +166,8 @@
 static asio::awaitable<bool> readOwnHead(gate_attempt& attempt, const gate_exchange& exchange, std::string& reason)
 {
     const bool headRequest = exchange.request.method() == http::verb::head;
+    // Without an id a refusal is known to be of this request only where no other one could be answered.
+    const bool nothingBefore = !attempt.connection->rested;
     for (int stray = 0; stray <= MostStrayAnswers; ++stray) {
         const auto error = co_await readHead(attempt, headRequest);
         if (error) {
@@ -163,7 +175,7 @@
             co_return false;
         }
         attempt.facts = platform::decodeAnswer(attempt.parser->get(), attempt.parser->get().result_int());
-        const bool own = attempt.facts.id == exchange.callerId || (attempt.facts.id.empty() && attempt.facts.notRun);
+        const bool own = attempt.facts.id == exchange.callerId || (attempt.facts.id.empty() && attempt.facts.notRun && nothingBefore && stray == 0);
         if (own)
             co_return true;
         const bool skipped = co_await skipBody(attempt);
@@ -256,6 +268,16 @@
     attempt->written = !error;
 }
 
+/** Whether the caller has left while the attempt was prepared; its requests are dropped then. */
+static bool dropIfLeft(gate_shell& shell, const gate_exchange& exchange)
+{
+    const auto caller = exchange.caller.lock();
+    if (caller && caller->socket.is_open() && !hasLeft(*caller))
+        return false;
+    feedGate(shell, caller_gone { exchange.id });
+    return true;
+}
+
 asio::awaitable<void> runAttempt(gate_shell& shell, std::shared_ptr<gate_attempt> attempt)
 {
     const auto exchange = attempt->exchange.lock();
@@ -272,6 +294,11 @@
             co_return;
         }
         attempt->connection = std::move(connection);
+        const bool left = dropIfLeft(shell, *exchange);
+        if (left) {
+            report(shell, *attempt, dispatch_outcome::CallerGone, "the caller left before the request was sent");
+            co_return;
+        }
     }
     attempt->startedAt = shell.clock.now();
     asio::co_spawn(shell.context, writeRequest(attempt, attempt->connection, makeRequest(*exchange, *attempt, shell.clock.now())), asio::detached);
@@ -284,6 +311,18 @@
         closeConnection(*attempt);
 }
 
+void sweepOrphans(gate_shell& shell)
+{
+    const auto now = shell.clock.now();
+    std::erase_if(shell.orphans, [&](const auto& attempt) {
+        if (!attempt->reported && now < attempt->command.deadline + OrphanTime)
+            return false;
+        if (!attempt->reported)
+            cancelAttempt(*attempt);
+        return true;
+    });
+}
+
 void cancelAttempt(gate_attempt& attempt)
 {
     attempt.cancelled = true;
@@ -316,7 +355,7 @@
         return;
     }
     attempt.connection.reset();
-    connection->buffer = beast::flat_buffer();
+    connection->buffer = beast::flat_buffer { MostUnparsedBytes };
     connection->idleSince = shell.clock.now();
     connection->keepUntil = connection->idleSince + keep;
     auto& others = shell.idle[connection->address];
--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -76,10 +76,7 @@
     exchange->arrived = shell.clock.now();
     const auto facts = platform::decodeCaller(exchange->request);
     exchange->callerId = facts.id;
-    exchange->onResolved = [weak = std::weak_ptr(caller)] {
-        if (const auto alive = weak.lock())
-            wakeCaller(*alive);
-    };
+    exchange->caller = caller;
     ++shell.counters.requests;
     shell.exchanges[exchange->id] = exchange;
     caller->queue.push_back(exchange);
@@ -93,6 +90,25 @@
     feedGate(shell, std::move(event));
 }
 
+bool hasLeft(caller_connection& caller)
+{
+    char byte = 0;
+    const auto got = ::recv(caller.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/** Ends the open requests of a caller that has left, and its connection. */
+static void dropCaller(gate_shell& shell, caller_connection& caller)
+{
+    const auto open = caller.queue;
+    for (const auto& exchange : open) {
+        feedGate(shell, caller_gone { exchange->id });
+        if (exchange->relayed) // Its request has ended for the reducer; what is left of the answer has no reader.
+            cancelAttempt(*exchange->relayed);
+    }
+    closeCaller(caller);
+}
+
 /** Gives back the room that the body being read has taken. */
 static void releaseBody(gate_shell& shell, caller_connection& caller)
 {
@@ -118,6 +134,7 @@
     const auto limits = limitsOf(shell);
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
+    caller.buffer.max_size(limits.headerBytes + MostUnparsedBytes);
     error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     caller.expires = shell.clock.now() + limits.idleTime + IdleMargin;
@@ -161,13 +178,7 @@
         caller->expires = time_point::max();
         releaseBody(shell, *caller);
         if (error && isEnd(error)) {
-            const auto open = caller->queue;
-            for (const auto& exchange : open) {
-                feedGate(shell, caller_gone { exchange->id });
-                if (exchange->relayed) // Its request has ended for the reducer; what is left of the answer has no reader.
-                    cancelAttempt(*exchange->relayed);
-            }
-            closeCaller(*caller);
+            dropCaller(shell, *caller);
             break;
         }
         if (error || read.noRoom) {
@@ -178,6 +189,12 @@
         }
         if (caller->closing) // An earlier answer closes the connection: this request counts as not read.
             break;
+        if (hasLeft(*caller)) { // A machine that is slowed down may read a request after its caller has given up.
+            ++shell.counters.callersLeftUnread;
+            writeLine("caller_gone", { { "id", platform::decodeCaller(parser.get()).id }, { "attempts", "0" }, { "reason", "left before its request was read" } }, shell.clock.now());
+            dropCaller(shell, *caller);
+            break;
+        }
         const bool last = !parser.get().keep_alive();
         startExchange(shell, caller, parser.release());
         wakeCaller(*caller);
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -66,6 +66,7 @@
     counter("attempts", counters.attempts);
     counter("bad_requests", counters.badRequests);
     counter("callers_closed_for_room", counters.callersClosed);
+    counter("callers_left_unread", counters.callersLeftUnread);
     counter("callers_stuck", counters.callersStuck);
     counter("requests_without_room", counters.bodiesRefused);
     counter("endpoint_connections_forgotten", counters.forgotten);
@@ -122,6 +123,7 @@
         co_await pauseFor(SweepPause);
         sweepCallers(shell);
         sweepIdle(shell);
+        sweepOrphans(shell);
     }
 }
 
--- a/src/serve/serve_effects.cpp
+++ b/src/serve/serve_effects.cpp
@@ -38,8 +38,8 @@
 {
     if (exchange.timer)
         exchange.timer->cancel();
-    if (exchange.onResolved)
-        exchange.onResolved();
+    if (const auto caller = exchange.caller.lock())
+        wakeCaller(*caller);
 }
 
 static void carryOut(gate_shell& shell, const relay_answer& effect)
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -19,6 +19,9 @@
 /** Stops an attempt; its end is still fed. */
 void cancelAttempt(gate_attempt& attempt);
 
+/** Ends attempts whose callers have left and whose time is over. */
+void sweepOrphans(gate_shell& shell);
+
 /** Reads the next bytes of an answer's body into the attempt. @return false when the answer broke off. */
 asio::awaitable<bool> readMore(gate_attempt& attempt);
 
@@ -40,6 +43,9 @@
 /** Closes a caller's connection. */
 void closeCaller(caller_connection& caller);
 
+/** Whether the caller has closed its sending side and nothing of it is left to read. Asks the kernel: the process may be behind. */
+bool hasLeft(caller_connection& caller);
+
 /** Ends a connection so that an answer in progress cannot look complete. */
 void resetCaller(caller_connection& caller);
 
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -23,9 +23,12 @@
 inline constexpr std::size_t RelayBytes = 16'384;
 
 /** A kept connection to an endpoint. */
+/** Bytes of a peer that may wait to be parsed. A head or a chunk's head that is still not complete then is malformed. */
+inline constexpr std::size_t MostUnparsedBytes = 65'536;
+
 struct endpoint_connection {
     tcp::socket socket; ///< Open.
-    beast::flat_buffer buffer; ///< Read and not parsed yet.
+    beast::flat_buffer buffer { MostUnparsedBytes }; ///< Read and not parsed yet.
     std::string address; ///< Where it leads.
     time_point idleSince {}; ///< When its last exchange ended.
     time_point keepUntil {}; ///< The endpoint may close it after this.
@@ -41,6 +44,7 @@
 
 struct gate_exchange;
 
+struct caller_connection;
 /** One attempt while the shell carries it out. */
 struct gate_attempt {
     send_attempt command; ///< What to do.
@@ -65,7 +69,7 @@
     std::shared_ptr<gate_attempt> relayed; ///< Whose answer goes to the caller, once decided.
     std::optional<answer_request> own; ///< Our own answer, once decided.
     std::unique_ptr<asio::steady_timer> timer; ///< For wake_request.
-    std::function<void()> onResolved; ///< Wakes the writer of the caller's connection.
+    std::weak_ptr<caller_connection> caller; ///< The connection that it came on.
     time_point arrived {}; ///< When it was read.
     bool resolved() const { return relayed || own; } ///< Whether the answer is decided.
 };
@@ -82,6 +86,7 @@
     std::uint64_t badRequests = 0; ///< Malformed requests.
     std::uint64_t callersClosed = 0; ///< Idle callers that were closed for new ones.
     std::uint64_t callersStuck = 0; ///< Callers that took nothing of their answer.
+    std::uint64_t callersLeftUnread = 0; ///< Requests that were read after their callers had left.
     std::uint64_t bodiesRefused = 0; ///< Requests without room for their body.
     std::uint64_t forgotten = 0; ///< Kept connections that endpoints had forgotten.
     std::uint64_t connectionsOpened = 0; ///< New connections to endpoints.
@@ -148,6 +153,7 @@
     std::deque<gate_event> inbox; ///< Events that came up while effects were carried out.
     bool draining = false; ///< The inbox is being worked off.
     std::unordered_map<std::uint64_t, std::shared_ptr<gate_exchange>> exchanges; ///< Open requests, by id.
+    std::vector<std::shared_ptr<gate_attempt>> orphans; ///< Attempts that go on without their callers, since they may not be repeated.
     std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>> idle; ///< Kept connections, by address.
     std::vector<std::weak_ptr<caller_connection>> callers; ///< Open connections of callers.
     std::size_t idleCount = 0; ///< Kept connections in all.
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -351,6 +351,27 @@
     CHECK(rig->gate->state.requests.empty());
 }
 
+TEST_CASE("serve: a request whose caller left before it was read, or before it was sent, reaches no endpoint")
+{
+    auto rig = makeRig(1);
+    const auto unread = connectCaller(*rig);
+    say(*unread, get("/read/x", "unread") + post("/write/x", "unread-order", "b"));
+    unread->socket.close(); // The gate has not run in between: it finds requests and end together.
+    const auto unsent = connectCaller(*rig);
+    say(*unsent, get("/read/x", "unsent"));
+    runUntil(*rig, [&] { return rig->gate->counters.connectionsOpened == 1; });
+    unsent->socket.close(); // The connection to the endpoint is not ready yet.
+    const auto stays = connectCaller(*rig);
+    say(*stays, get("/read/x", "stays"));
+    awaitAnswers(*rig, *stays, 1);
+    CHECK(stays->received.find("HTTP/1.1 200") == 0);
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+    for (const auto* id : { "unread", "unread-order", "unsent" })
+        CHECK(runsOf(*rig, id) == 0);
+    CHECK(rig->gate->state.requests.empty());
+    CHECK(rig->gate->state.endpoints.at("e0").inFlight == 0);
+}
+
 TEST_CASE("serve: HEAD has no body, and the connection goes on")
 {
     auto rig = makeRig(1);
@@ -614,3 +635,86 @@
     }
     CHECK(rig->gate->newsWaiters.size() <= 1);
 }
+
+TEST_CASE("serve: answers without end are ended, in a head, before it, in a chunk's head, behind the body and for another request")
+{
+    for (const auto behaviour : { endpoint_behaviour::EndlessHead, endpoint_behaviour::EndlessProvisional, endpoint_behaviour::EndlessChunkHead, endpoint_behaviour::EndlessTrailer, endpoint_behaviour::EndlessStray }) {
+        CAPTURE(static_cast<int>(behaviour));
+        auto rig = makeRig(1);
+        rig->endpoints[0]->behaviour = behaviour;
+        const auto caller = connectCaller(*rig);
+        say(*caller, post("/write/x", "order", "b")); // Without a deadline: the route's two seconds hold.
+        runUntil(*rig, [&] { return caller->closed || count(caller->received, "HTTP/1.1 ") == 1; });
+        CHECK(caller->received.find("HTTP/1.1 200") != 0);
+        runUntil(*rig, [&] { return rig->endpoints[0]->endless == 1; });
+        CHECK(rig->endpoints[0]->endlessBytes < 20'000'000); // What sockets hold; without bounds two seconds bring hundreds of megabytes.
+        CHECK(runsOf(*rig, "order") == 1);
+        rig->endpoints[0]->behaviour = endpoint_behaviour::Answer;
+        const auto next = connectCaller(*rig);
+        say(*next, get("/read/x", "next"));
+        awaitAnswers(*rig, *next, 1);
+        CHECK(next->received.find("HTTP/1.1 200") == 0);
+    }
+}
+
+TEST_CASE("serve: a body without end ends, visibly cut, and other callers are served meanwhile")
+{
+    auto rig = makeRig(20);
+    changeLimits(*rig, "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":500");
+    for (const auto& endpoint : rig->endpoints)
+        endpoint->behaviour = endpoint_behaviour::EndlessBody;
+    std::vector<std::shared_ptr<raw_caller>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(connectCaller(*rig));
+        const auto id = "endless" + std::to_string(i);
+        say(*callers.back(), "GET /slow/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 300\r\nCookie: X-Affinity-Key=" + id + "\r\n\r\n");
+    }
+    runUntil(*rig, [&] { return rig->gate->counters.attempts == 20; });
+    addEndpoint(*rig, "sound");
+    runUntil(*rig, [&] { return rig->gate->state.endpoints.size() == 21; });
+    removeObject(*rig->store, "servers", "e0"); // All but the sound one leave.
+    for (int i = 1; i < 20; ++i)
+        removeObject(*rig->store, "servers", "e" + std::to_string(i));
+    runUntil(*rig, [&] { return rig->gate->state.endpoints.size() == 1; });
+    const auto other = connectCaller(*rig);
+    say(*other, get("/read/x", "other"));
+    awaitAnswers(*rig, *other, 1);
+    CHECK(other->received.find("HTTP/1.1 200") == 0);
+    runUntil(*rig, [&] { return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->closed; }); });
+    for (const auto& caller : callers)
+        CHECK(caller->received.find("\r\n0\r\n\r\n") == std::string::npos);
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+}
+
+TEST_CASE("serve: an order whose caller has left does not hold its connection beyond its time")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->behaviour = endpoint_behaviour::Silent;
+    const auto caller = connectCaller(*rig);
+    say(*caller, "POST /write/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: order\r\nX-Deadline-Ms: 200\r\nContent-Length: 1\r\n\r\nb");
+    runUntil(*rig, [&] { return runsOf(*rig, "order") == 1; });
+    caller->socket.close();
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+    CHECK(rig->endpoints[0]->cancelled == 0); // It may run to its end.
+    runUntil(*rig, [&] { return rig->gate->state.requests.empty() && rig->gate->orphans.empty(); });
+}
+
+TEST_CASE("serve: a refusal that names no request proves nothing on a connection that was used before")
+{
+    auto rig = makeRig(1);
+    const auto caller = connectCaller(*rig);
+    say(*caller, get("/read/x", "first"));
+    awaitAnswers(*rig, *caller, 1);
+    say(*caller, post("/write/x", "warm", "b"));
+    awaitAnswers(*rig, *caller, 2);
+    for (const auto& endpoint : rig->endpoints)
+        endpoint->behaviour = endpoint_behaviour::AnonymousRefusal; // Late, of another request: this one runs.
+    for (int i = 0; i < 4; ++i) {
+        const auto id = "order" + std::to_string(i);
+        const auto before = count(caller->received, "HTTP/1.1 ");
+        say(*caller, post("/write/x", id, "b"));
+        awaitAnswers(*rig, *caller, before + 1);
+        CHECK(runsOf(*rig, id) <= 1);
+    }
+    CHECK(caller->received.find("HTTP/1.1 503") == std::string::npos);
+}
