Fix: VMs that wake from a pause, or are cut from each other, acted on shares that belonged to all

A VM that was paused for ten seconds saw nobody alive, took itself for the owner of every cold endpoint of its region, and divided the retry slack by the VMs it saw.

The view of the others is trusted three seconds after the start or after a gap between two rounds of gossip, and shares are scaled with the living part of the members heard of within a minute: groups that are cut apart know the same members, and their living parts add up to one. Ownership and trust are judged every 200 ms instead of for each endpoint of each request.

--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -15,10 +15,6 @@
 /** Added to the announced cold time: the announcement may be that old. */
 static constexpr milliseconds ColdMargin { 500 };
 
-/** After a start a VM owns no cold endpoint: when many start at once, each knows few others and would own too many. Six rounds
- *  of gossip. */
-static constexpr milliseconds SettleTime { 3000 };
-
 gate_state makeGate(gate_identity self, std::uint64_t incarnation)
 {
     gate_state gate;
@@ -55,7 +51,7 @@
 
 bool ownsColdEndpoint(const gate_state& gate, const endpoint_state& endpoint, time_point now)
 {
-    if (now - gate.startedAt < SettleTime)
+    if (!trustOf(gate.members, gate.gossip, now).settled)
         return false;
     std::vector<rendezvous_candidate> owners;
     for (const auto* member : aliveMembers(gate.members, gate.gossip, now)) {
@@ -141,8 +137,8 @@
 
 void reduceGate(gate_state& gate, time_point now, const gate_event& event, gate_effects& effects)
 {
-    if (gate.startedAt == time_point {})
-        gate.startedAt = now;
+    if (gate.members.unsettledAt == time_point {})
+        gate.members.unsettledAt = now;
     const bool wasReady = isReady(gate);
     if (const auto* config = std::get_if<config_seen>(&event))
         applyConfig(gate, *config, effects);
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -15,6 +15,9 @@
 /** Whether the endpoint is cold at @p now. */
 bool isCold(const gate_state& gate, const endpoint_state& endpoint, time_point now);
 
+/** Trust in the view of the other VMs, judged a moment ago at most. */
+const view_trust& trustNow(gate_state& gate, time_point now);
+
 /** Rules of a service; empty ones when the configuration lacks it. */
 service_rules rulesOf(const gate_state& gate, const std::string& service);
 
--- a/src/gate/gate_place.cpp
+++ b/src/gate/gate_place.cpp
@@ -1,6 +1,7 @@
 /** @file gate_place.cpp What placement is told of endpoints and of a request. */
 #include "gate/gate_internal.h"
 
+#include "gossip/gossip_func.h"
 #include "health/health_func.h"
 #include "limit/limit_func.h"
 #include "place/place_func.h"
@@ -14,6 +15,8 @@
 static constexpr double FirstWarmPart = 0.35;
 /** Until the first answer: cold work as a part of the objective. */
 static constexpr double FirstColdPart = 0.9;
+/** A judgement on the view of the other VMs is used again for so long; below a round of gossip, and a process that was paused judges anew. */
+static constexpr milliseconds ViewLife { 200 };
 /** Requests in a thousand that load may move between regions, in any two seconds. */
 static constexpr std::uint32_t MovedPermille = 80;
 
@@ -55,6 +58,15 @@
         [&](const attempt_state& attempt) { return attempt.endpoint != endpoint || attempt.forgotten; });
 }
 
+const view_trust& trustNow(gate_state& gate, time_point now)
+{
+    if (now - gate.trustAt > ViewLife) {
+        gate.trust = trustOf(gate.members, gate.gossip, now);
+        gate.trustAt = now;
+    }
+    return gate.trust;
+}
+
 /** Whether an endpoint may get a request now, for all that this VM knows. */
 static bool isUsable(gate_state& gate, endpoint_state& endpoint, time_point now)
 {
@@ -63,8 +75,14 @@
     if (!isCold(gate, endpoint, now))
         return true;
     const auto rules = rulesOf(gate, endpoint.entry.service);
-    const double perSecond = (rules.coldPerSecond * gate.self.coldOverage + gate.self.coldSlack) / ColdOwnersAtOnce;
-    return mayWarm(endpoint.warming, perSecond, now) && ownsColdEndpoint(gate, endpoint, now);
+    const double perSecond = (rules.coldPerSecond * gate.self.coldOverage + gate.self.coldSlack) / ColdOwnersAtOnce * trustNow(gate, now).regionPart;
+    if (!mayWarm(endpoint.warming, perSecond, now))
+        return false;
+    if (now - endpoint.ownedAt > ViewLife) {
+        endpoint.owned = ownsColdEndpoint(gate, endpoint, now);
+        endpoint.ownedAt = now;
+    }
+    return endpoint.owned;
 }
 
 candidate_list candidatesFor(gate_state& gate, const gate_request& request, time_point now)
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -3,7 +3,6 @@
 
 #include "admit/admit_func.h"
 #include "core/hash.h"
-#include "gossip/gossip_func.h"
 #include "limit/limit_func.h"
 #include <algorithm>
 
@@ -120,8 +119,8 @@
         return false;
     if (request.reached == 0)
         return true;
-    const auto vms = static_cast<std::uint32_t>(aliveMembers(gate.members, gate.gossip, now).size());
-    // Twice the VMs seen: others may be out of sight and spare ones may join.
+    const auto vms = static_cast<std::uint32_t>(trustNow(gate, now).remembered);
+    // Twice the VMs heard of lately: spare ones may join.
     return mayRetryWithin(gate.budgets[request.service], gate.self.retries, 2 * vms, now);
 }
 
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -33,6 +33,8 @@
     std::string region; ///< Region of its zone.
     time_point coldUntil {}; ///< It is cold until then.
     cold_limit warming; ///< What it got while cold.
+    bool owned = false; ///< Whether this VM may warm it, as of ownedAt.
+    time_point ownedAt {}; ///< When that was decided.
     endpoint_health health; ///< Own evidence.
     std::uint32_t inFlight = 0; ///< Own attempts at it.
     double othersLoad = 0; ///< Requests of other VMs at it, by its last report.
@@ -101,6 +103,8 @@
     std::set<std::string> evacuated; ///< Zones that get nothing.
     std::map<std::string, time_point> coldZones; ///< Zones taken back, cold until then.
     member_table members; ///< Entry VMs.
+    view_trust trust; ///< In the view of them, as of trustAt.
+    time_point trustAt {}; ///< When that was judged.
     std::map<std::string, retry_window> budgets; ///< By service.
     std::map<std::string, route_times> times; ///< By route.
     split_state split; ///< Shares of split routes.
@@ -108,7 +112,6 @@
     second_counts placed; ///< Requests placed.
     second_counts moved; ///< Requests that load moved to another region.
     std::uint64_t lastAttempt = 0; ///< Last identity given to an attempt.
-    time_point startedAt {}; ///< Time of the first event.
     bool stopping = false; ///< A graceful stop began.
 };
 
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -61,6 +61,27 @@
     return result;
 }
 
+view_trust trustOf(const member_table& table, const gossip_limits& limits, time_point now)
+{
+    view_trust trust;
+    const bool paused = table.roundAt != time_point {} && now - table.roundAt > limits.pauseAfter;
+    trust.settled = !paused && now - table.unsettledAt >= limits.settleTime;
+    std::size_t alive = 0;
+    std::size_t known = 0;
+    for (const auto& [name, member] : table.members) {
+        const bool recent = name == table.self || (member.heard != time_point {} && now - member.heard < limits.memory);
+        if (!recent)
+            continue;
+        ++trust.remembered;
+        if (isFar(table, member))
+            continue;
+        ++known;
+        alive += isAlive(table, member, limits, now) ? 1 : 0;
+    }
+    trust.regionPart = static_cast<double>(alive) / static_cast<double>(std::max<std::size_t>(1, known));
+    return trust;
+}
+
 /** Members in an order that differs from round to round and from VM to VM. */
 using member_draws = std::vector<std::pair<std::uint64_t, const gossip_member*>>;
 
@@ -121,6 +142,9 @@
 {
     auto& self = table.members[table.self].claim;
     ++self.beat;
+    if (table.roundAt != time_point {} && now - table.roundAt > limits.pauseAfter)
+        table.unsettledAt = now;
+    table.roundAt = now;
     const auto drawn = drawMembers(table, limits, self.beat, now);
     gossip_messages messages { { self }, { self } };
     appendClaims(messages.near, table, drawn.far, limits.farClaims, limits, now);
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -24,13 +24,20 @@
 /** Members alive, the VM itself included. Thread safe on a const object. */
 std::vector<const member_claim*> aliveMembers(const member_table& table, const gossip_limits& limits, time_point now);
 
+/**
+ * What a permission that is shared by construction must be scaled with, so that the sum over VMs with different views stays
+ * within it: VMs that are cut into groups know the same members, and each group has the living part of them. A VM that was paused
+ * remembers everybody and sees nobody alive. Thread safe on const objects.
+ */
+view_trust trustOf(const member_table& table, const gossip_limits& limits, time_point now);
+
 /** The IPs to tell in this round; dead members are tried now and then, so that a healed cut is noticed. */
 gossip_targets gossipTargets(member_table& table, const gossip_limits& limits, time_point now);
 
 /** A claim as it is passed on at @p now, with its age. Precondition: the member is in the table. Thread safe on const objects. */
 member_claim claimNow(const member_table& table, const member_claim& claim, time_point now);
 
-/** The claims of the next round. Not thread safe: turns through the members. */
+/** The claims of the next round; notices a pause of the process. Not thread safe: turns through the members. */
 gossip_messages claimsToSend(member_table& table, const gossip_limits& limits, time_point now);
 
 /**
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -41,6 +41,8 @@
     std::string self; ///< Own identity.
     std::map<std::string, gossip_member> members; ///< By identity.
     std::uint64_t round = 0; ///< Rounds so far; turns the choice of targets.
+    time_point roundAt {}; ///< When the newest round began; the epoch before the first.
+    time_point unsettledAt {}; ///< When the view last had to be built anew: at the start, and after a pause of the process.
     std::map<std::string, std::string> regionOfZone; ///< All zones; an unknown one is a region of its own.
 };
 
@@ -56,6 +58,13 @@
     std::vector<member_claim> far; ///< For other regions: some of the own region and some of the others.
 };
 
+/** How far this VM may rely on its view of the others. */
+struct view_trust {
+    bool settled = false; ///< It had time to build a view and was not paused since.
+    double regionPart = 0; ///< Living part of the members of its region that were heard of within limits.memory, 0 to 1.
+    std::size_t remembered = 0; ///< Members of all regions that were heard of within limits.memory, itself included.
+};
+
 /** Settings of gossip. */
 struct gossip_limits {
     milliseconds interval { 500 }; ///< Between two rounds.
@@ -64,6 +73,9 @@
     std::uint32_t claimsPerMessage = 128; ///< Claims in one message at most; about ten kilobytes.
     std::uint32_t farClaims = 8; ///< Claims of other regions among them; a message to another region has as many of the own one, and no more.
     milliseconds deadAfter { 4500 }; ///< Age of the newest beat at which a member counts as dead: nine rounds, for links that lose a fifth.
+    milliseconds settleTime { 3000 }; ///< Time to build a view: six rounds. Until then it permits nothing.
+    milliseconds pauseAfter { 1500 }; ///< Without a round for so long the process was paused: three rounds. Busy processes lose one.
+    seconds memory { 60 }; ///< Members count as possibly at work somewhere for so long after they were last heard of; longer than cuts of single VMs.
     milliseconds farDeadAfter { 6500 }; ///< The same for members of other regions: their claims come a fifth as often. Look-ups may name the dead for 7 s.
 };
 
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -324,6 +324,119 @@
     CHECK_FALSE(ownsColdEndpoint(far.gate, far.gate.endpoints.at("cold"), far.now));
 }
 
+/** VMs of one region that know each other, each with a gate of its own. */
+static std::vector<gate_rig> makeRegion(unsigned vms, const endpoint_entry& cold)
+{
+    std::vector<gate_rig> rigs;
+    for (unsigned i = 0; i < vms; ++i) {
+        auto rig = makeRig({});
+        const auto name = "vm" + std::to_string(i);
+        rig.gate.self.vm = name;
+        rig.gate.members.self = name;
+        rig.gate.members.members.clear();
+        rig.gate.members.members[name] = { { name, "10.0.0." + std::to_string(i), "a1", 1, 1, true }, {} };
+        feed(rig, endpoint_seen { cold });
+        rigs.push_back(std::move(rig));
+    }
+    return rigs;
+}
+
+/** One round of gossip in which everybody hears everybody. */
+static void gossipAll(std::vector<gate_rig>& rigs)
+{
+    for (auto& rig : rigs)
+        claimsToSend(rig.gate.members, rig.gate.gossip, rig.now);
+    for (auto& to : rigs) {
+        for (const auto& from : rigs) {
+            if (&to != &from)
+                mergeClaims(to.gate.members, { from.gate.members.members.at(from.gate.self.vm).claim }, from.gate.self.vm, to.now);
+        }
+    }
+}
+
+/** Each VM gets requests for a cold endpoint. @return how many all of them send there. */
+static unsigned warmFrom(std::vector<gate_rig>& rigs)
+{
+    unsigned sent = 0;
+    for (auto& rig : rigs) {
+        for (int i = 0; i < 20; ++i) {
+            ask(rig, "/read/x", "object" + std::to_string(i));
+            sent += find<send_attempt>(rig) ? 1 : 0;
+        }
+    }
+    return sent;
+}
+
+TEST_CASE("VMs that wake from a pause, or were cut off, do not act on what only others may do now")
+{
+    static constexpr double Bound = 6.4 * 1.5 + 5; // Of the configuration, over all VMs together.
+    auto cold = entryOf("cold", "a1");
+    cold.coldLeft = seconds(300);
+    for (const auto pause : { seconds(2), seconds(10), seconds(90) }) {
+        CAPTURE(pause.count());
+        auto rigs = makeRegion(12, cold);
+        for (int round = 0; round < 10; ++round) {
+            for (auto& rig : rigs)
+                rig.now += milliseconds(500);
+            gossipAll(rigs);
+        }
+        const auto before = warmFrom(rigs);
+        CHECK(before > 0);
+        CHECK(before <= Bound);
+        for (auto& rig : rigs)
+            rig.now += pause; // All were paused, and nobody has heard of anybody.
+        CHECK(warmFrom(rigs) == 0);
+        for (auto& rig : rigs) {
+            rig.now += milliseconds(100);
+            claimsToSend(rig.gate.members, rig.gate.gossip, rig.now); // The first round after it does not make them trust their view.
+        }
+        CHECK(warmFrom(rigs) == 0);
+    }
+    // Cut from each other while their processes run: together within the bound, however long it takes.
+    auto rigs = makeRegion(12, cold);
+    for (int round = 0; round < 10; ++round) {
+        for (auto& rig : rigs)
+            rig.now += milliseconds(500);
+        gossipAll(rigs);
+    }
+    for (int round = 0; round < 40; ++round) {
+        for (auto& rig : rigs) {
+            rig.now += milliseconds(500);
+            claimsToSend(rig.gate.members, rig.gate.gossip, rig.now);
+        }
+        if (round % 4 == 3)
+            CHECK(warmFrom(rigs) <= Bound);
+    }
+}
+
+TEST_CASE("VMs that are cut from each other keep the retries of all of them within the fleet's bound")
+{
+    auto cold = entryOf("cold", "a1");
+    cold.coldLeft = seconds(300);
+    auto rigs = makeRegion(12, cold);
+    for (int round = 0; round < 10; ++round) {
+        for (auto& rig : rigs)
+            rig.now += milliseconds(500);
+        gossipAll(rigs);
+    }
+    unsigned extras = 0;
+    for (auto& rig : rigs) {
+        for (const auto* id : { "e1", "e2", "e3" })
+            feed(rig, endpoint_seen { entryOf(id, "a1") });
+        rig.now += seconds(20); // Nobody has heard of anybody since.
+        for (int i = 0; i < 10; ++i) {
+            ask(rig, "/read/x", "object" + std::to_string(i));
+            if (const auto* sent = find<send_attempt>(rig)) {
+                const auto first = *sent;
+                feed(rig, ended(first, dispatch_outcome::Lost, 0));
+                extras += find<send_attempt>(rig) ? 1 : 0;
+            }
+        }
+    }
+    CHECK(extras > 0);
+    CHECK(extras <= 0.2 * 120 + 64); // Ratio of all requests and the slack of the rig's bounds.
+}
+
 TEST_CASE("a zone that is taken back counts as cold for a while")
 {
     auto rig = makeRig();
