--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -80,7 +80,8 @@
     endpoint.region = zone == gate.self.regionOfZone.end() ? entry.zone : zone->second;
     if (entry.coldLeft.count() > 0)
         endpoint.coldUntil = std::max(endpoint.coldUntil, now + entry.coldLeft + ColdMargin);
-    if (added || restarted || left)
+    // The first list has thousands in a large fleet, and would crowd out all other lines of the start.
+    if (gate.endpointsKnown && (added || restarted || left))
         effects.push_back(log_line { "endpoint", { { "id", entry.id }, { "service", entry.service }, { "zone", entry.zone }, { "address", entry.address }, { "state", entry.leaving ? "leaving" : "ready" }, { "cold_ms", std::to_string(entry.coldLeft.count()) } } });
 }
 
@@ -135,6 +136,21 @@
     gate.configRevision = event.revision;
 }
 
+/** The first time, one line for all endpoints; later changes are logged one by one. */
+static void onEndpointsListed(gate_state& gate, gate_effects& effects)
+{
+    if (gate.endpointsKnown)
+        return;
+    gate.endpointsKnown = true;
+    std::map<std::string, std::size_t> byService;
+    for (const auto& [id, endpoint] : gate.endpoints)
+        ++byService[endpoint.entry.service];
+    log_line line { "endpoints", { { "known", std::to_string(gate.endpoints.size()) } } };
+    for (const auto& [service, count] : byService)
+        line.fields.emplace_back("service", service + ":" + std::to_string(count));
+    effects.push_back(std::move(line));
+}
+
 void reduceGate(gate_state& gate, time_point now, const gate_event& event, gate_effects& effects)
 {
     if (gate.members.unsettledAt == time_point {})
@@ -147,7 +163,7 @@
     else if (const auto* gone = std::get_if<endpoint_gone>(&event))
         removeEndpoint(gate, gone->id, effects);
     else if (std::holds_alternative<endpoints_listed>(event))
-        gate.endpointsKnown = true;
+        onEndpointsListed(gate, effects);
     else if (const auto* evacuations = std::get_if<evacuations_seen>(&event))
         applyEvacuations(gate, now, evacuations->zones, effects);
     else if (const auto* request = std::get_if<request_seen>(&event))
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -324,6 +324,23 @@
     CHECK_FALSE(ownsColdEndpoint(far.gate, far.gate.endpoints.at("cold"), far.now));
 }
 
+TEST_CASE("a first list of many endpoints is one line of the log, later ones come one by one")
+{
+    gate_rig rig;
+    rig.gate = makeGate(makeRig({}).gate.self, 1);
+    std::size_t lines = 0;
+    for (int i = 0; i < 2000; ++i) {
+        feed(rig, endpoint_seen { entryOf("e" + std::to_string(i), "a1") });
+        lines += rig.effects.size();
+    }
+    feed(rig, endpoints_listed {});
+    lines += rig.effects.size();
+    CHECK(lines == 1);
+    feed(rig, endpoint_seen { entryOf("late", "a1") });
+    REQUIRE(find<log_line>(rig));
+    CHECK(find<log_line>(rig)->event == "endpoint");
+}
+
 /** VMs of one region that know each other, each with a gate of its own. */
 static std::vector<gate_rig> makeRegion(unsigned vms, const endpoint_entry& cold)
 {
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -110,12 +110,15 @@
     answer.set("X-Cold-Ms", "700");
     auto said = decodeAnswer(answer, 200);
     CHECK(said.reported);
+    CHECK(said.running == 1); // The header counts the request that it answers.
     CHECK(said.waiting == 1);
     CHECK(said.coldLeft == milliseconds(700));
     CHECK_FALSE(said.notRun);
     answer.set("X-Server-Load", "2,1");
     CHECK_FALSE(decodeAnswer(answer, 200).reported);
     CHECK(decodeAnswer(answer, 421).notRun);
+    answer.set("X-Server-Load", "3,9,3");
+    CHECK(decodeAnswer(answer, 421).running == 3); // A request that did not run is not counted.
     http::fields own;
     addRetryAfter(own, milliseconds(250));
     CHECK(own[http::field::retry_after] == "0.250");
