--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -729,7 +729,10 @@
     for (int i = 0; i < 20; ++i) {
         callers.push_back(connectCaller(*rig));
         const auto id = "endless" + std::to_string(i);
-        say(*callers.back(), "GET /slow/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 300\r\nCookie: X-Affinity-Key=" + id + "\r\n\r\n");
+        auto request = get("/slow/x", id);
+        request.replace(request.find("5000"), 4, "300"); // Of its deadline.
+        request.replace(request.find("Affinity-Key=1") + 13, 1, id);
+        say(*callers.back(), request);
     }
     runUntil(*rig, [&] { return rig->gate->counters.attempts == 20; });
     addEndpoint(*rig, "sound");
