Fix: Groups of VMs that were cut apart for over a minute shared the retry slack among themselves only

Members were remembered for 60 s, so that three regions apart would have spent one and a half times the slack. Two hours now: regions may lose each other for an hour. The test of the retries plays a cut of 4,000 s as well (found while reading the diff).

--- a/src/gate/gate_place.cpp
+++ b/src/gate/gate_place.cpp
@@ -15,7 +15,7 @@
 static constexpr double FirstWarmPart = 0.35;
 /** Until the first answer: cold work as a part of the objective. */
 static constexpr double FirstColdPart = 0.9;
-/** A judgement on the view of the other VMs is used again for so long; below a round of gossip, and a process that was paused judges anew. */
+/** What was judged of the view of other VMs is used again for so long: less than a round of gossip, and too short to outlast a pause. */
 static constexpr milliseconds ViewLife { 200 };
 /** Requests in a thousand that load may move between regions, in any two seconds. */
 static constexpr std::uint32_t MovedPermille = 80;
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -75,7 +75,7 @@
     milliseconds deadAfter { 4500 }; ///< Age of the newest beat at which a member counts as dead: nine rounds, for links that lose a fifth.
     milliseconds settleTime { 3000 }; ///< Time to build a view: six rounds. Until then it permits nothing.
     milliseconds pauseAfter { 1500 }; ///< Without a round for so long the process was paused: three rounds. Busy processes lose one.
-    seconds memory { 60 }; ///< Members count as possibly at work somewhere for so long after they were last heard of; longer than cuts of single VMs.
+    std::chrono::minutes memory { 120 }; ///< Members count as possibly at work for so long after they were last heard of: regions may lose each other for an hour.
     milliseconds farDeadAfter { 6500 }; ///< The same for members of other regions: their claims come a fifth as often. Look-ups may name the dead for 7 s.
 };
 
--- a/src/mirror/mirror_type.h
+++ b/src/mirror/mirror_type.h
@@ -35,8 +35,8 @@
 struct mirror_news {
     news_scope scope = news_scope::Changes; ///< What the objects are.
     bool listed = false; ///< The sender's mirror is listed.
-    std::uint64_t complete = 0; ///< The sender's.
-    std::vector<revision_gap> gaps; ///< The sender's.
+    std::uint64_t complete = 0; ///< Up to which revision the sender's mirror is complete.
+    std::vector<revision_gap> gaps; ///< What the sender does not know, and the receiver does not either from then on.
     std::vector<keyed_object> objects; ///< In the order of their versions.
 };
 
--- a/src/serve/serve_answer.cpp
+++ b/src/serve/serve_answer.cpp
@@ -82,6 +82,7 @@
     while (!error && more) {
         bool read = true;
         caller.writeUntil = time_point::max();
+        // Bytes that keep coming do not prolong the answer for ever.
         attempt.readUntil = std::min(std::max(attempt.command.deadline, shell.clock.now() + StreamSilence), attempt.command.deadline + patience);
         if (attempt.body.empty())
             read = co_await readMore(attempt);
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -430,6 +430,8 @@
 {
     auto cold = entryOf("cold", "a1");
     cold.coldLeft = seconds(300);
+    const auto cut = GENERATE(seconds(20), seconds(4000)); // Regions may lose each other for an hour.
+    CAPTURE(cut.count());
     auto rigs = makeRegion(12, cold);
     for (int round = 0; round < 10; ++round) {
         for (auto& rig : rigs)
@@ -440,7 +442,7 @@
     for (auto& rig : rigs) {
         for (const auto* id : { "e1", "e2", "e3" })
             feed(rig, endpoint_seen { entryOf(id, "a1") });
-        rig.now += seconds(20); // Nobody has heard of anybody since.
+        rig.now += cut; // Nobody has heard of anybody since.
         for (int i = 0; i < 10; ++i) {
             ask(rig, "/read/x", "object" + std::to_string(i));
             if (const auto* sent = find<send_attempt>(rig)) {
