Feature: Each request's result and the first cause of its loss are recorded, and forecasts of attempts are checked

Untouched decisions. A line per finished request, a line per attempt that took twice its forecast, counters by service and cause, histograms of actual to expected time by what was believed about the cache. Callers that come back are recognized by the time that remains.

--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -101,8 +101,10 @@
     if (event.status != 0)
         endpoint.lastAnswerAt = now;
     const bool refusedForCapacity = event.outcome == dispatch_outcome::Shed && event.loadReported && event.running >= event.slots;
-    if (event.outcome == dispatch_outcome::Whole && event.status < 500)
+    if (event.outcome == dispatch_outcome::Whole && event.status < 500) {
+        recordForecast(gate, request, attempt, now, effects);
         recordResponseTime(gate, request, attempt, endpoint, now);
+    }
     if (event.misdirected) { // Another endpoint has its address now.
         removeEndpoint(gate, attempt.endpoint, effects);
         return;
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -50,6 +50,18 @@
 /** Time from which an attempt without a response counts as overdue. */
 time_point overdueAt(const gate_state& gate, const gate_request& request, const attempt_state& attempt);
 
+/** Why an attempt that ended without a relayed response failed. */
+loss_cause failureOf(const attempt_ended& event);
+
+/** Counts an answered attempt and logs it if it took much longer than expected. */
+void recordForecast(gate_state& gate, const gate_request& request, const attempt_state& attempt, time_point now, gate_effects& effects);
+
+/** Counts and logs a request whose response is relayed. */
+void recordRelayed(gate_state& gate, const gate_request& request, const attempt_state& attempt, unsigned status, time_point now, gate_effects& effects);
+
+/** Counts a request that ends without an endpoint's response. @param ownCause why this VM ends it; an earlier failure of an attempt goes first. @return the first cause. */
+loss_cause recordUnserved(gate_state& gate, const gate_request& request, service_result result, loss_cause ownCause);
+
 /** Updates the endpoint's load and health and the route's processing times after the end of an attempt. */
 void recordAttemptEnd(gate_state& gate, const gate_request& request, const attempt_state& attempt, const attempt_ended& event,
     time_point now, gate_effects& effects);
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -2,6 +2,7 @@
 #include "gate/gate_internal.h"
 
 #include "admission/admission_func.h"
+#include "admission/caller_return_func.h"
 #include "core/hash.h"
 #include "limit/limit_func.h"
 #include <algorithm>
@@ -37,12 +38,13 @@
 
 /** Sends the caller a response of the entry VM itself, and closes the request. */
 static void respond(gate_state& gate, time_point now, std::uint64_t id, unsigned status, milliseconds retryAfter,
-    std::string_view reason, gate_effects& effects)
+    std::string_view reason, loss_cause ownCause, gate_effects& effects)
 {
     const auto& request = gate.requests.at(id);
+    const auto cause = recordUnserved(gate, request, status == 503 ? service_result::Refused : service_result::Failed, ownCause);
     effects.push_back(log_line { "answer",
         { { "id", request.callerRequestId }, { "route", request.matchedRoute->name }, { "service", request.service },
-            { "status", std::to_string(status) }, { "reason", std::string(reason) },
+            { "status", std::to_string(status) }, { "reason", std::string(reason) }, { "cause", std::string(nameOf(LossCauseNames, cause)) }, { "zone", gate.self.zone },
             { "retry_after_ms", std::to_string(retryAfter.count()) }, { "attempts", std::to_string(request.attempts.size()) },
             { "after_ms", std::to_string(elapsed(request.arrived, now).count()) },
             { "config", std::to_string(gate.configRevision) } } });
@@ -63,14 +65,14 @@
 }
 
 /** Ends a request that gets no further attempt: 503 only if it certainly did not run, otherwise 502 or 504. @param waitMs see retryAfterFor(). */
-static void failRequest(gate_state& gate, time_point now, std::uint64_t id, double waitMs, std::string_view reason, gate_effects& effects)
+static void failRequest(gate_state& gate, time_point now, std::uint64_t id, double waitMs, std::string_view reason, loss_cause ownCause, gate_effects& effects)
 {
     const auto& request = gate.requests.at(id);
     if (!request.mayHaveRun) {
-        respond(gate, now, id, 503, retryAfterFor(request, waitMs, now), reason, effects);
+        respond(gate, now, id, 503, retryAfterFor(request, waitMs, now), reason, ownCause, effects);
         return;
     }
-    respond(gate, now, id, now >= request.deadline ? 504 : 502, milliseconds(0), reason, effects);
+    respond(gate, now, id, now >= request.deadline ? 504 : 502, milliseconds(0), reason, ownCause, effects);
 }
 
 /** Starts an attempt at the chosen endpoint. */
@@ -85,6 +87,7 @@
     attempt.expectedWithoutWaitMs = choice.expectedMs - choice.waitMs;
     attempt.waitMs = choice.waitMs;
     attempt.expectedCached = choice.cached;
+    attempt.expectedLate = now + milliseconds(static_cast<std::int64_t>(choice.expectedMs)) > request.arrived + request.matchedRoute->objective;
     request.attempts.push_back(attempt);
     ++request.countedAttempts;
     ++endpoint.inFlight;
@@ -134,14 +137,16 @@
     const auto list = candidatesFor(gate, request, now);
     const auto choice = choosePlacement(gate, request, list, now);
     if (!choice) {
-        failRequest(gate, now, id, static_cast<double>(MinRetryAfter.count()), "no endpoint can take it", effects);
+        failRequest(gate, now, id, static_cast<double>(MinRetryAfter.count()), "no endpoint can take it", loss_cause::NotReady, effects);
         return;
     }
     const auto admission = admitRequest({ choice->waitMs, choice->expectedMs, toMilliseconds(request.deadline - now - ResponseTransitTime),
                                             std::max(0.0, toMilliseconds(request.arrived + request.matchedRoute->objective - now)), toMilliseconds(request.matchedRoute->objective) },
         gate.admission);
     if (admission != admit_decision::Send) {
-        failRequest(gate, now, id, choice->waitMs, admission == admit_decision::DeadlineUnreachable ? "cannot be served in time" : "the queue is too long", effects);
+        const bool unreachable = admission == admit_decision::DeadlineUnreachable;
+        failRequest(gate, now, id, choice->waitMs, unreachable ? "cannot be served in time" : "the queue is too long",
+            unreachable ? loss_cause::RefusedForTime : loss_cause::RefusedForQueue, effects);
         return;
     }
     if (request.countedAttempts > 0)
@@ -150,21 +155,21 @@
 }
 
 /** Responds to a request for which no route is known; no gate_request is created for it. */
-static void rejectUnrouted(const request_received& event, unsigned status, milliseconds retryAfter, std::string_view reason, gate_effects& effects)
+static void rejectUnrouted(const gate_state& gate, const request_received& event, unsigned status, milliseconds retryAfter, std::string_view reason, gate_effects& effects)
 {
-    effects.push_back(log_line { "answer", { { "id", event.callerRequestId }, { "host", event.host }, { "status", std::to_string(status) }, { "reason", std::string(reason) } } });
+    effects.push_back(log_line { "answer", { { "id", event.callerRequestId }, { "host", event.host }, { "status", std::to_string(status) }, { "reason", std::string(reason) }, { "cause", std::string(nameOf(LossCauseNames, loss_cause::NotReady)) }, { "zone", gate.self.zone } } });
     effects.push_back(send_response { event.id, status, retryAfter, reason });
 }
 
 void onRequestReceived(gate_state& gate, time_point now, const request_received& event, gate_effects& effects)
 {
     if (!gate.routes || !gate.endpointsKnown) {
-        rejectUnrouted(event, 503, StartingRetryAfter, "starting", effects);
+        rejectUnrouted(gate, event, 503, StartingRetryAfter, "starting", effects);
         return;
     }
     const auto* matched = findRoute(*gate.routes, event.host, event.target);
     if (!matched) {
-        rejectUnrouted(event, 404, milliseconds(0), "no route", effects);
+        rejectUnrouted(gate, event, 404, milliseconds(0), "no route", effects);
         return;
     }
     gate_request request;
@@ -176,6 +181,9 @@
     request.arrived = now;
     const auto timeout = event.callerTimeout.count() > 0 ? std::min(event.callerTimeout, matched->timeout) : matched->timeout;
     request.deadline = now + timeout;
+    auto& timeouts = gate.callerTimeouts[matched->name];
+    recordCallerTimeout(timeouts, event.callerTimeout);
+    request.spentBefore = spentBefore(timeouts, event.callerTimeout);
     countEvent(gate.retryCounts[request.service].requests, now);
     gate.requests.emplace(event.id, std::move(request));
     placeAndSend(gate, now, event.id, effects);
@@ -204,6 +212,7 @@
     if (event.outcome == dispatch_outcome::ConnectFailed)
         --request.countedAttempts;
     recordAttemptEnd(gate, request, *endedAttempt, event, now, effects);
+    endedAttempt->failure = failureOf(event);
     if (verdictOf(event.outcome) != verdict::NotRun)
         request.mayHaveRun = true;
     const bool othersOpen = std::any_of(
@@ -216,6 +225,7 @@
         return;
     }
     if (isFinalResponse(gate, request, event, now)) {
+        recordRelayed(gate, request, *endedAttempt, event.status, now, effects);
         effects.push_back(relay_response { event.request, event.attempt });
         closeRequest(gate, event.request, effects);
         return;
@@ -227,7 +237,7 @@
         placeAndSend(gate, now, event.request, effects);
         return;
     }
-    failRequest(gate, now, event.request, expectedTimes(gate, *request.matchedRoute).cachedMs, notRun ? "endpoint refused it" : "no whole answer", effects);
+    failRequest(gate, now, event.request, expectedTimes(gate, *request.matchedRoute).cachedMs, notRun ? "endpoint refused it" : "no whole answer", failureOf(event), effects);
 }
 
 /** Sends a hedge, a second attempt beside an overdue one, when an endpoint without a queue can serve it in time. */
@@ -260,7 +270,7 @@
     }
     for (const auto& attempt : request.attempts)
         request.mayHaveRun = request.mayHaveRun || attempt.open;
-    failRequest(gate, now, id, 0, "deadline", effects);
+    failRequest(gate, now, id, 0, "deadline", loss_cause::Deadline, effects);
 }
 
 void onCallerGone(gate_state& gate, std::uint64_t id, gate_effects& effects)
@@ -269,7 +279,10 @@
     if (found == gate.requests.end() || found->second.closed)
         return;
     auto& request = found->second;
-    effects.push_back(log_line { "caller_gone", { { "id", request.callerRequestId }, { "attempts", std::to_string(request.attempts.size()) } } });
+    const auto cause = recordUnserved(gate, request, service_result::Failed, loss_cause::CallerGone);
+    effects.push_back(log_line { "caller_gone",
+        { { "id", request.callerRequestId }, { "service", request.service }, { "cause", std::string(nameOf(LossCauseNames, cause)) },
+            { "zone", gate.self.zone }, { "attempts", std::to_string(request.attempts.size()) } } });
     if (request.matchedRoute->repeatable) {
         closeRequest(gate, id, effects);
         return;
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "admission/admission_type.h"
+#include "admission/caller_return_type.h"
 #include "core/verdict_type.h"
 #include "gossip/gossip_type.h"
 #include "health/health_type.h"
 #include "limit/limit_type.h"
 #include "lookup/lookup_type.h"
+#include "loss/loss_type.h"
 #include "placement/placement_type.h"
 #include "route/route_func.h"
 #include <deque>
@@ -57,6 +59,8 @@
     double expectedWithoutWaitMs = 0; ///< Expected time until the response, without waitMs.
     double waitMs = 0; ///< Expected wait for a slot.
     bool expectedCached = false; ///< The endpoint was expected to have handled the object recently.
+    bool expectedLate = false; ///< Its expected time exceeded what was left of the route's objective.
+    loss_cause failure = loss_cause::None; ///< Why it ended without a response that could be relayed; None while it has not.
     bool open = true; ///< Its attempt_ended event has not arrived.
     bool overdueRecorded = false; ///< It was checked as overdue once; this is not repeated.
     bool staleConnection = false; ///< It failed on a stale connection, which says nothing about the endpoint.
@@ -72,6 +76,7 @@
     time_point arrived {}; ///< When the reducer received it.
     time_point deadline {}; ///< The earlier of the caller's and the route's.
     std::vector<attempt_state> attempts; ///< All attempts, oldest first.
+    milliseconds spentBefore { 0 }; ///< Time that the caller had spent on earlier tries of it; see spentBefore().
     bool mayHaveRun = false; ///< An attempt ended without proof that the request did not run.
     bool closed = false; ///< The caller was answered or left; the request is kept only until its open attempts end.
     bool hedgeConsidered = false; ///< A hedge (a second attempt beside an overdue one) was considered once; this is not repeated.
@@ -107,6 +112,8 @@
     time_point trustComputedAt {}; ///< When trust was computed.
     std::map<std::string, retry_counts> retryCounts; ///< By service.
     std::map<std::string, route_times> routeTimes; ///< By name of the route.
+    std::map<std::string, caller_timeouts> callerTimeouts; ///< By name of the route.
+    loss_counts losses; ///< Results of requests and quality of forecasts.
     split_state split; ///< State of the split of requests over the targets of each route.
     std::map<std::uint64_t, gate_request> requests; ///< By request_received::id.
     per_second_counts placements; ///< Attempts that were sent.
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -50,6 +50,43 @@
     co_return makeProblem(http::status::not_found, "no such call", "");
 }
 
+/** One histogram of the ratio of actual to expected time. */
+static void appendForecastRatios(std::ostream& text, std::string_view expected, const forecast_histogram& counts)
+{
+    std::uint64_t cumulative = 0;
+    for (std::size_t bucket = 0; bucket < counts.size(); ++bucket) {
+        cumulative += counts[bucket];
+        text << "lhub_attempt_time_ratio_bucket{expected=\"" << expected << "\",le=\"";
+        if (bucket < ForecastRatioBounds.size())
+            text << ForecastRatioBounds[bucket];
+        else
+            text << "+Inf";
+        text << "\"} " << cumulative << "\n";
+    }
+}
+
+/** Requests by result and by cause of loss, and the quality of the forecasts. */
+static void appendLossMetrics(std::ostream& text, const loss_counts& losses)
+{
+    text << "# TYPE lhub_service_results_total counter\n";
+    for (const auto& [service, counts] : losses.resultsByService) {
+        for (const auto& row : ServiceResultNames)
+            text << "lhub_service_results_total{service=\"" << service << "\",result=\"" << row.name << "\"} " << counts[static_cast<std::size_t>(row.value)] << "\n";
+    }
+    text << "# TYPE lhub_losses_total counter\n";
+    for (const auto& [service, counts] : losses.causesByService) {
+        for (const auto& row : LossCauseNames) {
+            if (row.value != loss_cause::None)
+                text << "lhub_losses_total{service=\"" << service << "\",cause=\"" << row.name << "\"} " << counts[static_cast<std::size_t>(row.value)] << "\n";
+        }
+    }
+    text << "# TYPE lhub_placed_as_cached_total counter\nlhub_placed_as_cached_total " << losses.placedAsCached << "\n";
+    text << "# TYPE lhub_placed_as_cached_wrongly_total counter\nlhub_placed_as_cached_wrongly_total " << losses.placedAsCachedWrongly << "\n";
+    text << "# TYPE lhub_attempt_time_ratio histogram\n";
+    appendForecastRatios(text, "cached", losses.cachedRatios);
+    appendForecastRatios(text, "uncached", losses.uncachedRatios);
+}
+
 /** All metrics in the Prometheus text format. */
 static std::string metricsText(const gate_shell& shell)
 {
@@ -99,6 +136,7 @@
     gauge("vms_alive", aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size());
     gauge("config_version", shell.state.routes ? shell.state.routes->config.version : 0);
     gauge("config_revision", shell.state.configRevision);
+    appendLossMetrics(text, shell.state.losses);
     text << "# TYPE lhub_request_latency_ms histogram\n";
     for (const auto& [route, counts] : shell.latencyByRoute) {
         std::uint64_t cumulative = 0;
