--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -102,7 +102,7 @@
     if (keys.size() > MaxRecentKeys)
         keys.pop_front();
     effects.push_back(log_line { "send",
-        { { "id", request.callerRequestId }, { "route", request.matchedRoute->name }, { "endpoint", endpoint.entry.id }, { "zone", endpoint.entry.zone },
+        { { "id", request.callerRequestId }, { "route", request.matchedRoute->name }, { "object", std::to_string(request.key % 1000000) }, { "endpoint", endpoint.entry.id }, { "zone", endpoint.entry.zone },
             { "attempt", std::to_string(request.attempts.size()) }, { "warm", choice.cached ? "yes" : "no" }, { "moved", choice.movedByLoad ? "yes" : "no" },
             { "load", std::to_string(endpoint.inFlight - 1) + "+" + std::to_string(static_cast<int>(endpoint.otherVmsLoad)) },
             { "load_age_ms", std::to_string(endpoint.loadReportedAt == time_point {} ? -1 : elapsed(endpoint.loadReportedAt, now).count()) },
