Change: Unreported endpoints count as loaded as their region, scarce regions keep slots free, distances are measured; lhub-report losses

Change: an endpoint without a recent report is taken to have the mean load of its region; a region with few slots keeps 0.85 times what they carry where other regions respond on time; round trips and connect time-outs come from connects instead of 110, 150 and 350 ms.

--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -8,10 +8,6 @@
 
 namespace lhub {
 
-/** Connection timeout within a region: one round trip and its jitter. */
-static constexpr milliseconds SameRegionConnectTimeout { 150 };
-/** Connection timeout to another region: a round trip of 110 ms, and at least as much again for jitter. */
-static constexpr milliseconds CrossRegionConnectTimeout { 350 };
 /** Added to a reported cold time, since the report may be this old when it arrives. */
 static constexpr milliseconds ColdTimeMargin { 500 };
 
@@ -21,6 +17,7 @@
     gate.members.self = self.vm;
     gate.members.regionOfZone = self.regionOfZone;
     gate.members.members[self.vm] = { { self.vm, self.ip, self.zone, incarnation, 0, false, true, requestsPerSecondOf(self.capacity), milliseconds(0), {} }, {} };
+    gate.distances.ownRegion = self.region;
     gate.self = std::move(self);
     return gate;
 }
@@ -36,11 +33,6 @@
     return found == services.end() ? service_rules {} : found->second;
 }
 
-milliseconds connectTimeoutTo(const gate_state& gate, const std::string& region)
-{
-    return region == gate.self.region ? SameRegionConnectTimeout : CrossRegionConnectTimeout;
-}
-
 bool isCold(const gate_state& gate, const endpoint_state& endpoint, time_point now)
 {
     if (now < endpoint.coldUntil)
--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -1,6 +1,7 @@
 /** @file gate_endpoint.cpp Learning from attempts: processing times of routes, load and health of endpoints. */
 #include "gate/gate_internal.h"
 
+#include "distance/distance_func.h"
 #include "health/health_func.h"
 #include <algorithm>
 
@@ -42,7 +43,7 @@
 static void recordResponseTime(gate_state& gate, const gate_request& request, const attempt_state& attempt, endpoint_state& endpoint, time_point now)
 {
     const double elapsedMs = toMilliseconds(now - attempt.sentAt);
-    const double networkMs = endpoint.region == gate.self.region ? 0 : CrossRegionRoundTripMs;
+    const double networkMs = roundTripTo(gate.distances, endpoint.region);
     const double processingMs = std::max(1.0, elapsedMs - attempt.waitMs - networkMs);
     auto& times = gate.routeTimes[request.matchedRoute->name];
     const auto previous = expectedTimes(gate, *request.matchedRoute);
@@ -90,6 +91,10 @@
         return;
     auto& endpoint = found->second;
     endpoint.inFlight -= endpoint.inFlight > 0 ? 1 : 0;
+    if (event.connectTook.count() > 0)
+        recordConnect(gate.distances, endpoint.region, event.connectTook);
+    if (event.connectTimedOut)
+        recordConnectTimeout(gate.distances, endpoint.region);
     if (event.outcome == dispatch_outcome::CallerGone)
         return;
     if (event.coldLeft.count() > 0)
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -22,12 +22,6 @@
 /** Rules of a service; default values when the configuration does not contain it. */
 service_rules serviceRulesOf(const gate_state& gate, const std::string& service);
 
-/** Timeout for a connection to an endpoint of @p region. */
-milliseconds connectTimeoutTo(const gate_state& gate, const std::string& region);
-
-/** Network round trip to another region, which counts towards the objective. */
-inline constexpr double CrossRegionRoundTripMs = 110;
-
 /** @p span in milliseconds, with fractions. */
 inline double toMilliseconds(time_point::duration span) { return std::chrono::duration<double, std::milli>(span).count(); }
 
@@ -53,6 +47,13 @@
 /** Why an attempt that ended without a relayed response failed. */
 loss_cause failureOf(const attempt_ended& event);
 
+/** Remembers a refusal for wasRefusedBefore(). */
+void rememberRefusal(gate_state& gate, const gate_request& request);
+
+/** Whether this VM refused a request for the same object whose caller gives up at the same time. Callers that come back to
+ *  another VM are not recognized. */
+bool wasRefusedBefore(const gate_state& gate, const gate_request& request);
+
 /** Counts an answered attempt and logs it if it took much longer than expected. */
 void recordForecast(gate_state& gate, const gate_request& request, const attempt_state& attempt, time_point now, gate_effects& effects);
 
--- a/src/gate/gate_loss.cpp
+++ b/src/gate/gate_loss.cpp
@@ -1,20 +1,40 @@
 /** @file gate_loss.cpp Records how requests ended and why, and how good the forecasts of their attempts were. */
 #include "gate/gate_internal.h"
 
+#include "distance/distance_func.h"
 #include "loss/loss_func.h"
+#include <algorithm>
+#include <cstdlib>
 
 namespace lhub {
 
+/** Refusals that are remembered; about those of two seconds under heavy overload. */
+static constexpr std::size_t MaxRefusals = 128;
+/** Largest difference of the deadlines of two tries of one request: the jitter of the network. */
+static constexpr milliseconds SameDeadlineTolerance { 60 };
 /** An attempt that takes this many times its expected time is logged. */
 static constexpr double LoggedForecastRatio = 2;
 
+void rememberRefusal(gate_state& gate, const gate_request& request)
+{
+    gate.refusals.push_back({ request.key, request.callerDeadline });
+    if (gate.refusals.size() > MaxRefusals)
+        gate.refusals.pop_front();
+}
+
+bool wasRefusedBefore(const gate_state& gate, const gate_request& request)
+{
+    return std::any_of(gate.refusals.begin(), gate.refusals.end(), [&](const refused_request& refused) {
+        return refused.key == request.key && std::abs(elapsed(refused.callerDeadline, request.callerDeadline).count()) <= SameDeadlineTolerance.count();
+    });
+}
+
 static attempt_forecast forecastOf(const gate_state& gate, const gate_request& request, const attempt_state& attempt, time_point now)
 {
     const auto times = expectedTimes(gate, *request.matchedRoute);
     const auto endpoint = gate.endpoints.find(attempt.endpoint);
-    const bool otherRegion = endpoint != gate.endpoints.end() && endpoint->second.region != gate.self.region;
     return { attempt.expectedCached, attempt.waitMs, attempt.expectedWithoutWaitMs + attempt.waitMs, toMilliseconds(now - attempt.sentAt),
-        times.cachedMs, times.uncachedMs, otherRegion ? CrossRegionRoundTripMs : 0 };
+        times.cachedMs, times.uncachedMs, endpoint == gate.endpoints.end() ? 0 : roundTripTo(gate.distances, endpoint->second.region) };
 }
 
 loss_cause failureOf(const attempt_ended& event)
@@ -69,16 +89,13 @@
 void recordRelayed(gate_state& gate, const gate_request& request, const attempt_state& attempt, unsigned status, time_point now, gate_effects& effects)
 {
     const bool served = status < 500;
-    const auto spent = elapsed(request.arrived, now) + request.spentBefore;
-    const bool late = spent > request.matchedRoute->objective;
+    const bool late = elapsed(request.arrived, now) > request.matchedRoute->objective;
     const auto result = served ? (late ? service_result::Late : service_result::OnTime) : service_result::Failed;
     auto cause = loss_cause::None;
     if (result != service_result::OnTime) {
         cause = firstFailure(request);
         if (cause == loss_cause::None && hasOverdueAttempt(request))
             cause = loss_cause::EndpointSlow;
-        if (cause == loss_cause::None && elapsed(request.arrived, now) <= request.matchedRoute->objective)
-            cause = loss_cause::RefusedForQueue; // On time since its return; the time was lost by the refusal before.
         if (cause == loss_cause::None)
             cause = causeOfLateAttempt(forecastOf(gate, request, attempt, now), attempt.expectedLate);
     }
@@ -86,7 +103,7 @@
     effects.push_back(log_line { "done",
         { { "id", request.callerRequestId }, { "service", request.service }, { "zone", gate.self.zone }, { "status", std::to_string(status) },
             { "result", std::string(nameOf(ServiceResultNames, result)) }, { "cause", std::string(nameOf(LossCauseNames, cause)) },
-            { "after_ms", std::to_string(elapsed(request.arrived, now).count()) }, { "before_ms", std::to_string(request.spentBefore.count()) },
+            { "after_ms", std::to_string(elapsed(request.arrived, now).count()) }, { "came_back", request.cameBack ? "yes" : "no" },
             { "attempts", std::to_string(request.attempts.size()) } } });
 }
 
@@ -97,7 +114,7 @@
         cause = loss_cause::EndpointSlow;
     const bool refusedHere = ownCause == loss_cause::RefusedForQueue || ownCause == loss_cause::RefusedForTime;
     if (cause == loss_cause::None)
-        cause = refusedHere && request.spentBefore.count() > 0 ? loss_cause::RefusedAgain : ownCause;
+        cause = refusedHere && request.cameBack ? loss_cause::RefusedAgain : ownCause;
     countLoss(gate.losses, request.service, result, cause);
     return cause;
 }
--- a/src/gate/gate_placement.cpp
+++ b/src/gate/gate_placement.cpp
@@ -1,6 +1,7 @@
 /** @file gate_placement.cpp Prepares the input of placement: candidates, expected times and limits. */
 #include "gate/gate_internal.h"
 
+#include "distance/distance_func.h"
 #include "gossip/gossip_func.h"
 #include "health/health_func.h"
 #include "limit/limit_func.h"
@@ -11,6 +12,10 @@
 
 /** Age at which the load that an endpoint reported is ignored; its weight falls linearly until then. */
 static constexpr milliseconds LoadReportLifetime { 1000 };
+/** Longest queue of an endpoint, in multiples of its slots, that counts for the mean load of its region: one endpoint in trouble says little about the others. */
+static constexpr double MaxCountedLoad = 3;
+/** Slots that must have reported lately for their mean load to count in full for the other endpoints of a region. */
+static constexpr double MinReportedSlots = 4;
 /** Expected time of a request for a cached object until one was measured, as a fraction of the route's objective. */
 static constexpr double InitialCachedPart = 0.35;
 /** The same for an object that is not cached. */
@@ -21,11 +26,17 @@
 /** Maximum number of requests in a thousand, over the last two seconds, that are moved to other regions because of load. */
 static constexpr std::uint32_t MaxMovedPermille = 80;
 
-/** Requests at an endpoint: this VM's open attempts, and those of other VMs by its last report, weighted by the report's age. */
-static double loadOf(const endpoint_state& endpoint, time_point now)
+/** Load of a region's endpoints as far as it was reported lately. */
+struct region_load {
+    double load = 0; ///< Requests in process and queued, weighted by the age of the reports.
+    double slots = 0; ///< Slots of the endpoints that reported, weighted likewise.
+};
+
+/** Weight of an endpoint's load report: falls linearly with its age. */
+static double reportWeight(const endpoint_state& endpoint, time_point now)
 {
     const double relativeAge = toMilliseconds(now - endpoint.loadReportedAt) / static_cast<double>(LoadReportLifetime.count());
-    return endpoint.inFlight + endpoint.otherVmsLoad * std::max(0.0, 1 - relativeAge);
+    return std::max(0.0, 1 - relativeAge);
 }
 
 route_times expectedTimes(const gate_state& gate, const route& route)
@@ -102,10 +113,23 @@
         ejected += ejectedNow ? 1 : 0;
         const auto& keys = endpoint.recentKeys;
         list.candidates.push_back({ endpoint.entry.id, endpoint.region, static_cast<double>(endpoint.entry.slots),
-            loadOf(endpoint, now), slownessAt(endpoint.health, now), !ejectedNow && !wasTried(request, id) && isUsable(gate, endpoint, now),
-            std::find(keys.begin(), keys.end(), request.key) != keys.end() });
+            endpoint.inFlight + endpoint.otherVmsLoad * reportWeight(endpoint, now), slownessAt(endpoint.health, now), !ejectedNow && !wasTried(request, id) && isUsable(gate, endpoint, now),
+            std::find(keys.begin(), keys.end(), request.key) != keys.end(), roundTripTo(gate.distances, endpoint.region) });
         list.endpoints.push_back(&endpoint);
     }
+    // An endpoint without a recent report is assumed to have the mean load of those of its region that have one.
+    std::map<std::string_view, region_load> reportedByRegion;
+    for (const auto* endpoint : list.endpoints) {
+        auto& reported = reportedByRegion[endpoint->region];
+        const double weight = reportWeight(*endpoint, now);
+        reported.load += weight * std::min(endpoint->otherVmsLoad + endpoint->inFlight, MaxCountedLoad * endpoint->entry.slots);
+        reported.slots += weight * endpoint->entry.slots;
+    }
+    for (std::size_t i = 0; i < list.candidates.size(); ++i) {
+        const auto& endpoint = *list.endpoints[i];
+        const auto& reported = reportedByRegion[endpoint.region];
+        list.candidates[i].load += (1 - reportWeight(endpoint, now)) * reported.load / std::max(reported.slots, MinReportedSlots) * endpoint.entry.slots;
+    }
     // When more than half of the endpoints are ejected, a common cause such as the network is more likely: ejections are ignored.
     for (std::size_t i = 0; ejected * 2 > total && i < list.candidates.size(); ++i) {
         auto& endpoint = *list.endpoints[i];
@@ -136,7 +160,8 @@
     query.key = request.key;
     query.region = gate.self.region;
     query.objectiveLeftMs = std::max(0.0, toMilliseconds(request.arrived + request.matchedRoute->objective - now));
-    query.times = { times.cachedMs, times.uncachedMs, CrossRegionRoundTripMs };
+    query.objectiveMs = toMilliseconds(request.matchedRoute->objective);
+    query.times = { times.cachedMs, times.uncachedMs };
     query.mayMoveForLoad = mayMoveForLoad(gate, now);
     return placeRequest(query, list.candidates);
 }
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -2,8 +2,8 @@
 #include "gate/gate_internal.h"
 
 #include "admission/admission_func.h"
-#include "admission/caller_return_func.h"
 #include "core/hash.h"
+#include "distance/distance_func.h"
 #include "limit/limit_func.h"
 #include <algorithm>
 
@@ -69,6 +69,7 @@
 {
     const auto& request = gate.requests.at(id);
     if (!request.mayHaveRun) {
+        rememberRefusal(gate, request);
         respond(gate, now, id, 503, retryAfterFor(request, waitMs, now), reason, ownCause, effects);
         return;
     }
@@ -110,8 +111,8 @@
             { "left_ms", std::to_string(elapsed(now, request.deadline).count()) },
             { "config", std::to_string(gate.configRevision) } } });
     effects.push_back(send_attempt { id, attempt.id, endpoint.entry.id, endpoint.entry.address, request.deadline,
-        connectTimeoutTo(gate, endpoint.region),
-        milliseconds(endpoint.region == gate.self.region ? 0 : static_cast<int>(CrossRegionRoundTripMs)), request.matchedRoute->repeatable });
+        connectTimeoutTo(gate.distances, endpoint.region),
+        milliseconds(static_cast<std::int64_t>(roundTripTo(gate.distances, endpoint.region))), request.matchedRoute->repeatable });
     effects.push_back(set_request_timer { id, std::min(overdueAt(gate, request, attempt), request.deadline) });
 }
 
@@ -181,9 +182,8 @@
     request.arrived = now;
     const auto timeout = event.callerTimeout.count() > 0 ? std::min(event.callerTimeout, matched->timeout) : matched->timeout;
     request.deadline = now + timeout;
-    auto& timeouts = gate.callerTimeouts[matched->name];
-    recordCallerTimeout(timeouts, event.callerTimeout);
-    request.spentBefore = spentBefore(timeouts, event.callerTimeout);
+    request.callerDeadline = now + event.callerTimeout;
+    request.cameBack = wasRefusedBefore(gate, request);
     countEvent(gate.retryCounts[request.service].requests, now);
     gate.requests.emplace(event.id, std::move(request));
     placeAndSend(gate, now, event.id, effects);
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "admission/admission_type.h"
-#include "admission/caller_return_type.h"
 #include "core/verdict_type.h"
+#include "distance/distance_type.h"
 #include "gossip/gossip_type.h"
 #include "health/health_type.h"
 #include "limit/limit_type.h"
@@ -66,6 +66,12 @@
     bool staleConnection = false; ///< It failed on a stale connection, which says nothing about the endpoint.
 };
 
+/** A request that this VM refused. Its caller may come back, with another request id. */
+struct refused_request {
+    std::uint64_t key = 0; ///< Placement key.
+    time_point callerDeadline {}; ///< When its caller gives up; the same on its return.
+};
+
 /** A request from its arrival to the end of its last attempt. */
 struct gate_request {
     std::shared_ptr<const route_table> table; ///< Configuration at its arrival; keeps matchedRoute valid.
@@ -76,7 +82,8 @@
     time_point arrived {}; ///< When the reducer received it.
     time_point deadline {}; ///< The earlier of the caller's and the route's.
     std::vector<attempt_state> attempts; ///< All attempts, oldest first.
-    milliseconds spentBefore { 0 }; ///< Time that the caller had spent on earlier tries of it; see spentBefore().
+    time_point callerDeadline {}; ///< When the caller gives up.
+    bool cameBack = false; ///< This VM refused it before; see wasRefusedBefore().
     bool mayHaveRun = false; ///< An attempt ended without proof that the request did not run.
     bool closed = false; ///< The caller was answered or left; the request is kept only until its open attempts end.
     bool hedgeConsidered = false; ///< A hedge (a second attempt beside an overdue one) was considered once; this is not repeated.
@@ -112,7 +119,8 @@
     time_point trustComputedAt {}; ///< When trust was computed.
     std::map<std::string, retry_counts> retryCounts; ///< By service.
     std::map<std::string, route_times> routeTimes; ///< By name of the route.
-    std::map<std::string, caller_timeouts> callerTimeouts; ///< By name of the route.
+    std::deque<refused_request> refusals; ///< Newest refusals, to recognize callers that come back; newest last.
+    region_distances distances; ///< Round trips to the regions.
     loss_counts losses; ///< Results of requests and quality of forecasts.
     split_state split; ///< State of the split of requests over the targets of each route.
     std::map<std::uint64_t, gate_request> requests; ///< By request_received::id.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -4,15 +4,26 @@
 #include "core/hash.h"
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace lhub {
 
-/** A region keeps this many times the objects that its slots can carry, so that the loss of one endpoint in a dozen does not
- *  move objects of the other endpoints to another region. */
+/** A region with enough slots keeps this many times the objects that its slots can carry, so that the loss of one endpoint in a
+ *  dozen does not move objects of the other endpoints to another region. */
 static constexpr double LocalHeadroom = 1.1;
+/** Result of scarceFactorFor() where other regions can respond on time. */
+static constexpr double NearScarceFactor = 0.85;
+/** Bounds, in slots that a region has of those that it needs, between which the factor changes from the one to the other. */
+static constexpr double ScarceRatio = 0.5;
+static constexpr double EnoughRatio = 0.9;
 static constexpr std::uint64_t RegionSeed = 0x9d3f; ///< Makes the choice of the region independent of the choice of the endpoint.
 
-region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots)
+double scarceFactorFor(const place_query& query, double nearestRoundTripMs)
+{
+    return query.times.cachedMs + nearestRoundTripMs <= query.objectiveMs ? NearScarceFactor : LocalHeadroom;
+}
+
+region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots, double scarceFactor)
 {
     double total = 0;
     for (const auto& [name, count] : slots)
@@ -21,7 +32,9 @@
     const double regionCount = static_cast<double>(slots.size()) + (own == slots.end() ? 1 : 0);
     const double neededSlots = total / regionCount; // For the callers of each region.
     const double ownSlots = own == slots.end() ? 0 : own->second;
-    const double localShare = neededSlots <= 0 ? 0 : std::min(1.0, LocalHeadroom * ownSlots / neededSlots);
+    const double ratio = neededSlots <= 0 ? 0 : ownSlots / neededSlots;
+    const double enough = std::clamp((ratio - ScarceRatio) / (EnoughRatio - ScarceRatio), 0.0, 1.0);
+    const double localShare = std::min(1.0, (scarceFactor + enough * (LocalHeadroom - scarceFactor)) * ratio);
     double surplus = 0; // Of all other regions.
     for (const auto& [name, count] : slots)
         surplus += name == region ? 0 : std::max(0.0, count - neededSlots);
@@ -100,7 +113,7 @@
     choice.cached = candidate.cached || isHome;
     choice.waitMs = queued <= 0 ? 0 : queued / candidate.slots * query.times.cachedMs * candidate.slowness;
     choice.expectedMs = choice.waitMs + processingMs * candidate.slowness
-        + (candidate.region == query.region ? 0 : query.times.crossRegionMs);
+        + candidate.roundTripMs;
     return choice;
 }
 
@@ -123,11 +136,15 @@
     const place_query& query, const std::vector<place_candidate>& candidates)
 {
     std::map<std::string_view, double> slots;
-    for (const auto& candidate : candidates)
+    double nearestRoundTripMs = std::numeric_limits<double>::max();
+    for (const auto& candidate : candidates) {
         slots[candidate.region] += candidate.slots;
+        if (candidate.region != query.region)
+            nearestRoundTripMs = std::min(nearestRoundTripMs, candidate.roundTripMs);
+    }
     if (slots.empty())
         return std::nullopt;
-    const auto home = homeRegion(query.key, query.region, sharesOf(query.region, slots));
+    const auto home = homeRegion(query.key, query.region, sharesOf(query.region, slots, scarceFactorFor(query, nearestRoundTripMs)));
     auto best = firstUsable(query, home, candidates, true);
     if (best && (best->expectedMs <= query.objectiveLeftMs || !query.mayMoveForLoad))
         return best;
--- a/src/placement/placement_func.h
+++ b/src/placement/placement_func.h
@@ -13,8 +13,18 @@
  * the rest goes to regions with more slots than they need themselves, in proportion to that surplus. Assumes that all
  * regions have the same number of callers. Thread safe.
  * @param slots slots by region, of all endpoints of a service.
+ * @param scarceFactor how many times the objects that its slots can carry the region keeps when it has half of the slots that it
+ *        needs or fewer. A region with nearly enough keeps all, so that the loss of one endpoint in a dozen moves no other objects.
  */
-region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots);
+region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots, double scarceFactor);
+
+/**
+ * The scarceFactor for sharesOf(). Where other regions can respond on time, a region with few slots keeps some of them free: a small
+ * region has no other reserve for waves of its callers and for the loss of endpoints. Where they cannot, its slots are all
+ * that serves its callers on time. Thread safe.
+ * @param nearestRoundTripMs network round trip to the nearest other region.
+ */
+double scarceFactorFor(const place_query& query, double nearestRoundTripMs);
 
 /**
  * Chooses an endpoint for one request: the home of its object, the same one on every VM that has the same candidates.
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -20,19 +20,20 @@
     double slowness = 1; ///< Its response time relative to the expected one; 1 is as expected.
     bool usable = true; ///< Whether it may get the request now; if not, its slots still count for its region.
     bool cached = false; ///< It handled the object recently and is expected to have it cached.
+    double roundTripMs = 0; ///< Network round trip to its region.
 };
 
 /** Expected times of the requests of a route. */
 struct place_times {
     double cachedMs = 100; ///< Processing time where the object is cached.
     double uncachedMs = 300; ///< Processing time at other endpoints.
-    double crossRegionMs = 110; ///< Network round trip to another region.
 };
 
 /** The request to place. */
 struct place_query {
     std::uint64_t key = 0; ///< Hash of the object, or of the request id when it names no object.
     std::string_view region; ///< Region of this VM.
+    double objectiveMs = 400; ///< The route's objective.
     double objectiveLeftMs = 0; ///< Time until the response would be late; 0 when it is late already.
     place_times times; ///< Expected times of its route.
     bool mayMoveForLoad = true; ///< Whether load may move the request out of its home region.
--- a/src/programs/lhub_report.cpp
+++ b/src/programs/lhub_report.cpp
@@ -1,7 +1,9 @@
 /** @file lhub_report.cpp The program lhub-report: status, burn rates and moved requests of all entry VMs. */
 #include "programs/program.h"
 #include "report/burn_report.h"
+#include "report/loss_report.h"
 #include "report/report_func.h"
+#include <fstream>
 
 namespace lhub {
 
@@ -13,6 +15,7 @@
     /** Options of all commands. */
     struct report_options {
         std::vector<std::string> entries; ///< Addresses of the entry VMs, IP:port.
+        std::vector<std::string> logs; ///< Log files of entry VMs, for losses.
         std::int64_t seconds = 10; ///< How long to watch or wait.
         std::uint64_t revision = 0; ///< Configuration revision to wait for.
         std::string output = "text"; ///< "text", "json" or "html".
@@ -85,6 +88,25 @@
     co_return ExitDone;
 }
 
+/** Reads the logs and prints where requests were lost and why. */
+static asio::awaitable<int> printLosses(const report_options& options, const clock_source&)
+{
+    loss_report report;
+    for (const auto& path : options.logs) {
+        std::ifstream log(path);
+        if (!log) {
+            std::cerr << path << ": cannot be read\n";
+            co_return ExitFailed;
+        }
+        addLog(report, log);
+    }
+    if (options.output == "csv")
+        std::cout << lossCsv(report);
+    else
+        std::cout << (options.output == "svg" ? lossSvg(report) : lossText(report));
+    co_return ExitDone;
+}
+
 static int runReport(int argc, char** argv)
 {
     using report_command = asio::awaitable<int> (*)(const report_options&, const clock_source&);
@@ -92,9 +114,13 @@
     report_options options;
     report_command command = printStatus;
     app.set_version_flag("--version", LHUB_VERSION);
-    app.add_option("--entry", options.entries, "entry VMs, IP:port")->required();
+    app.add_option("--entry", options.entries, "entry VMs, IP:port; required by all commands but losses");
     app.add_option("--seconds", options.seconds, "how long to watch or to wait");
     app.require_subcommand(1);
+    auto* losses = app.add_subcommand("losses", "where requests were late or not served, and why, from logs of lhub-gate");
+    losses->add_option("logs", options.logs, "log files")->required();
+    losses->add_option("--output", options.output, "text, csv or svg")->check(CLI::IsMember({ "text", "csv", "svg" }));
+    losses->callback([&] { command = printLosses; });
     app.add_subcommand("status", "a line for each VM")->callback([&] { command = printStatus; });
     auto* burn = app.add_subcommand("burn", "service-level burn, headroom, what is stale");
     burn->add_option("--output", options.output, "text, json or html")
@@ -107,6 +133,10 @@
     watch->add_option("--cap", options.cap, "cap of the shifts; more in any second exits 1");
     watch->callback([&] { command = watchFleet; });
     CLI11_PARSE(app, argc, argv);
+    if (options.entries.empty() && command != printLosses) {
+        std::cerr << "--entry is required\n";
+        return ExitBadSettings;
+    }
     asio::io_context context(1);
     const system_clock_source clock;
     int code = ExitFailed;
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -79,13 +79,16 @@
         error_code ignored; // Closing only has to end the connect below.
         state->socket.close(ignored);
     });
+    const auto startedAt = shell.clock.now();
     error_code error;
     co_await state->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
     timer.cancel();
     if (state->timedOut || error) {
+        attempt.connectTimedOut = state->timedOut;
         reason = state->timedOut ? "connect timed out" : "connect failed: " + error.message();
         co_return nullptr;
     }
+    attempt.connectTook = shell.clock.now() - startedAt;
     auto socket = std::move(state->socket);
     socket.set_option(tcp::no_delay(true), error);
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs, sizeof TcpUserTimeoutMs);
@@ -243,6 +246,8 @@
     event.waiting = attempt.facts.waiting;
     event.slots = attempt.facts.slots;
     event.coldLeft = attempt.facts.coldLeft;
+    event.connectTook = attempt.connectTook;
+    event.connectTimedOut = attempt.connectTimedOut;
     event.staleConnection = event.outcome == dispatch_outcome::NoResponse && isStaleConnection(attempt, shell.clock.now());
     if (event.staleConnection) {
         ++shell.counters.staleConnections;
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -52,6 +52,8 @@
     send_attempt command; ///< The reducer's effect that started the attempt.
     std::weak_ptr<gate_exchange> exchange; ///< The request; expired when nothing waits for it any more.
     std::shared_ptr<endpoint_connection> connection; ///< Null before the connection is made and after it was given back or closed; shared with writeRequest().
+    time_point::duration connectTook {}; ///< Time of the connect; 0 when a kept connection is used, or before it has succeeded.
+    bool connectTimedOut = false; ///< The connect took longer than allowed.
     time_point requestStartedAt {}; ///< When writing of the request began.
     bool requestWritten = false; ///< The whole request was written without an error.
     time_point bodyTimeoutAt = time_point::max(); ///< sweepCallers() cancels the attempt after this; set while relaying waits for more of the body.
