--- a/src/gate/gate_loss.cpp
+++ b/src/gate/gate_loss.cpp
@@ -4,7 +4,6 @@
 #include "distance/distance_func.h"
 #include "loss/loss_func.h"
 #include <algorithm>
-#include <cstdlib>
 
 namespace lhub {
 
@@ -25,7 +24,7 @@
 bool wasRefusedBefore(const gate_state& gate, const gate_request& request)
 {
     return std::any_of(gate.refusals.begin(), gate.refusals.end(), [&](const refused_request& refused) {
-        return refused.key == request.key && std::abs(elapsed(refused.callerDeadline, request.callerDeadline).count()) <= SameDeadlineTolerance.count();
+        return refused.key == request.key && std::chrono::abs(refused.callerDeadline - request.callerDeadline) <= SameDeadlineTolerance;
     });
 }
 
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -569,3 +569,91 @@
         CHECK_FALSE(find<drop_connections>(rig));
     }
 }
+
+/** Reads a field of the first log line of the last event with a name; empty when there is none. */
+static std::string loggedField(const gate_rig& rig, std::string_view event, std::string_view field)
+{
+    for (const auto& effect : rig.effects) {
+        const auto* line = std::get_if<log_line>(&effect);
+        if (!line || line->event != event)
+            continue;
+        for (const auto& [name, value] : line->fields) {
+            if (name == field)
+                return value;
+        }
+    }
+    return "";
+}
+
+TEST_CASE("an endpoint that has not reported its load lately is expected to be as loaded as the others of its region")
+{
+    auto rig = makeRig({ "e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7" });
+    // Each object's request ends with a report of six requests of other VMs at three slots, until one endpoint is left without a report.
+    std::set<std::string> reported;
+    std::string unreportedObject;
+    for (int i = 0; i < 200 && unreportedObject.empty(); ++i) {
+        const auto object = "o" + std::to_string(i);
+        sendRequest(rig, "/read/x", object);
+        const auto sent = *find<send_attempt>(rig);
+        if (reported.size() == 7 && reported.count(sent.endpoint) == 0) {
+            unreportedObject = object;
+            CHECK(std::stoi(loggedField(rig, "send", "wait_ms")) > 0);
+        }
+        auto event = attemptEnded(sent, dispatch_outcome::Whole, 200);
+        if (reported.size() < 7 || reported.count(sent.endpoint) > 0) {
+            event.loadReported = true;
+            event.running = 3;
+            event.waiting = 4; // With the attempt itself.
+            event.slots = 3;
+            reported.insert(sent.endpoint);
+        }
+        feed(rig, event);
+    }
+    CHECK_FALSE(unreportedObject.empty());
+    rig.now += seconds(2); // All reports are old, and nothing is known of any endpoint.
+    sendRequest(rig, "/read/x", unreportedObject);
+    CHECK(loggedField(rig, "send", "wait_ms") == "0");
+}
+
+TEST_CASE("the result of each request and the first cause of its loss are recorded")
+{
+    auto rig = makeRig({ "e1" });
+    sendRequest(rig, "/read/x", "a");
+    auto sent = *find<send_attempt>(rig);
+    rig.now += milliseconds(100);
+    feed(rig, attemptEnded(sent, dispatch_outcome::Whole, 200));
+    CHECK(loggedField(rig, "done", "result") == "on_time");
+    CHECK(loggedField(rig, "done", "cause") == "none");
+
+    sendRequest(rig, "/write/x", "a");
+    sent = *find<send_attempt>(rig);
+    feed(rig, attemptEnded(sent, dispatch_outcome::NoResponse, 0));
+    CHECK(loggedField(rig, "answer", "cause") == "answer_lost");
+
+    sendRequest(rig, "/read/x", "a");
+    sent = *find<send_attempt>(rig);
+    rig.now += milliseconds(410);
+    feed(rig, attemptEnded(sent, dispatch_outcome::Whole, 200));
+    CHECK(loggedField(rig, "done", "result") == "late");
+    CHECK(loggedField(rig, "done", "cause") == "not_cached");
+    CHECK(loggedField(rig, "forecast_missed", "warm") == "yes");
+    const auto& results = rig.gate.losses.resultsByService.at("service");
+    CHECK(results == std::array<std::uint64_t, 4> { 1, 1, 0, 1 });
+    CHECK(rig.gate.losses.placedAsCached == 2);
+    CHECK(rig.gate.losses.placedAsCachedWrongly == 1);
+}
+
+TEST_CASE("a request that is refused again after its caller came back is told from a first refusal")
+{
+    auto rig = makeRig({ "e1" });
+    while (!find<send_response>(rig))
+        sendRequest(rig, "/read/x", "a");
+    CHECK(loggedField(rig, "answer", "cause").find("refused_for") == 0);
+    rig.now += milliseconds(200);
+    sendRequest(rig, "/read/x", "a", milliseconds(1800)); // What remains of its 2 s.
+    REQUIRE(find<send_response>(rig));
+    CHECK(loggedField(rig, "answer", "cause") == "refused_again");
+    sendRequest(rig, "/read/x", "a", milliseconds(1500)); // Another caller.
+    REQUIRE(find<send_response>(rig));
+    CHECK(loggedField(rig, "answer", "cause") != "refused_again");
+}
