--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -11,8 +11,8 @@
 /** A region with enough slots keeps this many times the objects that its slots can carry, so that the loss of one endpoint in a
  *  dozen does not move objects of the other endpoints to another region. */
 static constexpr double LocalHeadroom = 1.1;
-/** Part of the objective that a response from another region may take without any wait. The rest is for queues. */
-static constexpr double MaxRemotePart = 0.75;
+/** Part of the objective up to which the way to another region costs less than the queues of a region that is too small. */
+static constexpr double MaxWayPart = 0.2;
 /** Result of scarceFactorFor() where other regions can respond on time. */
 static constexpr double NearScarceFactor = 0.85;
 /** Bounds, in slots that a region has of those that it needs, between which the factor changes from the one to the other. */
@@ -22,7 +22,7 @@
 
 double scarceFactorFor(const place_query& query, double nearestRoundTripMs)
 {
-    return query.times.cachedMs + nearestRoundTripMs <= MaxRemotePart * query.objectiveMs ? NearScarceFactor : LocalHeadroom;
+    return nearestRoundTripMs <= MaxWayPart * query.objectiveMs ? NearScarceFactor : LocalHeadroom;
 }
 
 region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots, double scarceFactor)
--- a/src/placement/placement_func.h
+++ b/src/placement/placement_func.h
@@ -19,9 +19,9 @@
 region_shares sharesOf(std::string_view region, const std::map<std::string_view, double>& slots, double scarceFactor);
 
 /**
- * The scarceFactor for sharesOf(). Where other regions can respond on time, a region with few slots keeps some of them free: a small
- * region has no other reserve for waves of its callers and for the loss of endpoints. Where they cannot, its slots are all
- * that serves its callers on time. Thread safe.
+ * The scarceFactor for sharesOf(). Where other regions are near, measured by the objective, a region with few slots keeps some of them free: a small
+ * region has no other reserve for waves of its callers and for the loss of endpoints. Where the way takes much of the objective,
+ * the region uses all its slots. Thread safe.
  * @param nearestRoundTripMs network round trip to the nearest other region.
  */
 double scarceFactorFor(const place_query& query, double nearestRoundTripMs);
