Fix: A watch that the store never answers is renewed before a change could be missed

Cause: a call that reaches the store while it is silent is never answered, also not after the store is back. A watch asked to wait 25 s and timed out after 26.5 s, and until then its silence was taken for 'no change'. The stand-in answered such calls late, so no test showed it.

Change: the wait of a watch follows from the bounds of the deployment (watchWaitFor): a lost call is noticed early enough that a change made once the guarantees hold again is in force within its bound, with 2 s for its way to all VMs. 3 s for configuration and endpoints and 5.5 s for evacuations on the small sites, 4.5 and 5.5 s on the grown ones. A watch without an answer is logged with its age; lhub_watch_answer_age_ms shows when each kind was last answered. The stand-in can swallow calls.

The new test of test_serve.cpp fails on the old code (version 2 is still in force 10 s later).

--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -12,7 +12,6 @@
 
 static constexpr int ExitBadSettings = 2; ///< The settings are wrong or name no usable store.
 static constexpr int ExitFailed = 1; ///< Listening at an address failed.
-static constexpr milliseconds StoreCallTimeout { 1500 }; ///< The store answers within milliseconds unless it is down.
 
 static outcome<gate_settings> readGateSettings(const std::string& path)
 {
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -87,6 +87,16 @@
     appendForecastRatios(text, "uncached", losses.uncachedRatios);
 }
 
+/** Time since the store last answered a watch of each kind, on a VM that watches it. */
+static void appendWatchMetrics(std::ostream& text, const gate_shell& shell)
+{
+    text << "# TYPE lhub_watch_answer_age_ms gauge\n";
+    for (const auto& kind : shell.watchedKinds) {
+        if (kind && shell.watchesStore && kind->answeredAt != time_point {})
+            text << "lhub_watch_answer_age_ms{kind=\"" << kind->keyPrefix.substr(0, kind->keyPrefix.size() - 1) << "\"} " << elapsed(kind->answeredAt, shell.clock.now()).count() << "\n";
+    }
+}
+
 /** All metrics in the Prometheus text format. */
 static std::string metricsText(const gate_shell& shell)
 {
@@ -136,6 +146,7 @@
     gauge("vms_alive", aliveMembers(shell.state.members, shell.state.gossip, shell.clock.now()).size());
     gauge("config_version", shell.state.routes ? shell.state.routes->config.version : 0);
     gauge("config_revision", shell.state.configRevision);
+    appendWatchMetrics(text, shell);
     appendLossMetrics(text, shell.state.losses);
     text << "# TYPE lhub_request_latency_ms histogram\n";
     for (const auto& [route, counts] : shell.latencyByRoute) {
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -23,6 +23,9 @@
 /** Size of one read of a response body; larger responses are relayed in parts of this size. */
 inline constexpr std::size_t RelayBufferBytes = 16'384;
 
+/** Time-out of a call to the store, not counting the wait of a watch. The store answers within milliseconds unless it fails. */
+inline constexpr milliseconds StoreCallTimeout { 1500 };
+
 /** Most bytes received and not yet parsed. A header section or chunk header that is incomplete at this size is malformed. */
 inline constexpr std::size_t MaxUnparsedBytes = 65'536;
 
@@ -133,6 +136,8 @@
 struct watched_kind {
     std::string keyPrefix; ///< Start of the keys of its objects, "KIND/".
     std::size_t index = 0; ///< Its place in known_revisions and gate_shell::watchedKinds.
+    milliseconds (*applyBound)(const gate_bounds&) = nullptr; ///< Time within which a change of this kind must be in force.
+    time_point answeredAt {}; ///< When the store last answered a watch of this kind; the epoch before the first time.
     milliseconds retryPause { 0 }; ///< Pause after the last failed call to the store; 0 after a successful one.
     bool historyGone = false; ///< The store no longer keeps the changes since the last complete state: the next call lists all objects.
     asio::steady_timer roleChanged; ///< Wakes watchKind(); cancelled when this VM becomes a watcher or a follower.
--- a/src/serve/serve_watch.cpp
+++ b/src/serve/serve_watch.cpp
@@ -1,11 +1,10 @@
 /** @file serve_watch.cpp Watches the store and applies its changes of configuration, endpoints and evacuations. */
 #include "platform/objects.h"
 #include "serve/serve_func.h"
+#include "store_follow/store_follow_func.h"
 
 namespace lhub {
 
-/** Longest time that a call to the store waits for a change. Long, since the store counts a waiting call like any other. */
-static constexpr milliseconds WatchWait { 25'000 };
 /** Pause after a change, so that one call brings several changes in quick succession; a fifth of the time within which a change
  *  must be in force. */
 static constexpr milliseconds BatchPause { 500 };
@@ -78,7 +77,8 @@
         request.operation = store_operation::Watch;
         request.key = kind->keyPrefix;
         request.since = kind->localCopy.listed && !kind->historyGone ? kind->localCopy.completeRevision : 0;
-        request.wait = request.since == 0 ? milliseconds(0) : WatchWait;
+        request.wait = request.since == 0 ? milliseconds(0) : watchWaitFor(shell.settings.bounds.stabilityTime, kind->applyBound(shell.settings.bounds), StoreCallTimeout);
+        const auto calledAt = shell.clock.now();
         const auto reply = co_await callStore(shell, request);
         recordStoreResult(shell, reply);
         if (reply.result == store_result::HistoryGone) {
@@ -87,12 +87,14 @@
             continue;
         }
         if (reply.result != store_result::Done) {
+            logEvent("watch", { { "kind", kind->keyPrefix }, { "outcome", "no answer" }, { "reason", reply.reason }, { "since", std::to_string(request.since) }, { "after_ms", std::to_string(elapsed(calledAt, shell.clock.now()).count()) } }, shell.clock.now());
             kind->retryPause = std::clamp(kind->retryPause * 2, FirstRetryPause, LongestRetryPause);
             co_await pauseFor(kind->retryPause);
             continue;
         }
         kind->retryPause = milliseconds(0);
         kind->historyGone = false;
+        kind->answeredAt = shell.clock.now();
         const bool hasChanges = !reply.objects.empty();
         const auto changed = request.since == 0 ? applyList(kind->localCopy, reply.objects, reply.revision) : applyChanges(kind->localCopy, reply.objects, reply.revision);
         publishChanges(shell, *kind, changed);
@@ -182,11 +184,14 @@
 void makeWatchedKinds(gate_shell& shell)
 {
     const auto config = makeWatchedKind(shell, 0, platform::ConfigPrefix);
+    config->applyBound = [](const gate_bounds& bounds) { return bounds.configApply; };
     config->onObject = [&shell](const keyed_object& item) { applyConfig(shell, item); };
     const auto endpoints = makeWatchedKind(shell, 1, platform::EndpointPrefix);
+    endpoints->applyBound = [](const gate_bounds& bounds) { return bounds.drain; };
     endpoints->onObject = [&shell, weak = std::weak_ptr(endpoints)](const keyed_object& item) { applyEndpoint(shell, weak.lock(), item); };
     endpoints->onBatch = [&shell] { processEvent(shell, endpoints_listed {}); };
     const auto evacuations = makeWatchedKind(shell, 2, platform::EvacuationPrefix);
+    evacuations->applyBound = [](const gate_bounds& bounds) { return bounds.evacuate; };
     evacuations->onBatch = [&shell, weak = std::weak_ptr(evacuations)] { applyEvacuations(shell, *weak.lock()); };
 }
 
--- a/src/store_follow/store_follow.cpp
+++ b/src/store_follow/store_follow.cpp
@@ -9,6 +9,16 @@
 
 static constexpr std::string_view WatcherKey = "watches the store"; ///< Hashed into the rendezvous key of the watchers; must be equal on old and new VMs.
 
+/** Part of the time until a change must be in force that is left for its way from a watcher to all other VMs. */
+static constexpr milliseconds SpreadTime { 2000 };
+/** Lower bound on the wait of a watch; limits the number of calls where the bounds of a deployment are tight. */
+static constexpr milliseconds MinWatchWait { 500 };
+
+milliseconds watchWaitFor(milliseconds stabilityTime, milliseconds applyBound, milliseconds callTimeout)
+{
+    return std::max(MinWatchWait, stabilityTime + applyBound - SpreadTime - callTimeout);
+}
+
 /** Ranks members by a rendezvous hash of @p key, weighted by their capacity; best first. */
 static std::vector<const member_record*> rankMembers(std::uint64_t key, const std::vector<const member_record*>& members)
 {
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -448,6 +448,29 @@
     CHECK(rig->gate->state.endpoints.count("e1") == 1);
 }
 
+TEST_CASE("serve: a watch that the store never answers is renewed, and the changes since are applied")
+{
+    auto rig = makeRig(2);
+    rig->gate->settings.bounds.stabilityTime = milliseconds(500);
+    const auto putConfig = [&](int version) {
+        auto config = boost::json::parse(RouteTable);
+        config.as_object()["version"] = version;
+        putObject(*rig->store, "config", "main", config);
+    };
+    putConfig(2);
+    runUntil(*rig, [&] { return rig->gate->state.routes->config.version == 2; });
+    const auto before = rig->gate->storeCalls.watches;
+    rig->store->faults.swallowsCalls = true;
+    runUntil(*rig, [&] { return rig->gate->storeCalls.watches > before; }); // The call after the pause that follows a change.
+    const auto arrived = rig->store->calls;
+    runUntil(*rig, [&] { return rig->store->calls > arrived; });
+    rig->store->faults.swallowsCalls = false;
+    const auto recoveredAt = rig->clock.now();
+    putConfig(3);
+    runUntil(*rig, [&] { return rig->gate->state.routes->config.version == 3 || rig->clock.now() - recoveredAt > seconds(10); });
+    CHECK(rig->gate->state.routes->config.version == 3);
+}
+
 TEST_CASE("serve: a VM that the store does not answer gets the objects from another VM, through a seed")
 {
     auto rig = makeRig(2);
