Fix: An endpoint that says in its responses that it leaves gets no request any more

Callers were sent to an endpoint that had said in a response that it leaves (Server-Leaving), when the VM learned late or never from the store: the header was not read.

Change: platform/ decodes the header into self_report; the reducer keeps it by endpoint and start (src/self_report), apart from the registration, since that may expire, return or be read again as it was before. Placement asks it for first attempts, retries and hedges; idle connections are used by these only. A response of another endpoint at the address (421), or to another request, says nothing. One log line: event=endpoint state=leaving reason="its response says so" with the start that it is about.

Evidence: three new tests in test_gate.cpp, one in test_serve.cpp, and checks of the decoder in test_platform.cpp.

--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -3,6 +3,7 @@
 
 #include "distance/distance_func.h"
 #include "health/health_func.h"
+#include "self_report/self_report_func.h"
 #include <algorithm>
 
 namespace lhub {
@@ -55,6 +56,17 @@
     recordLatency(endpoint.health, milliseconds(static_cast<std::int64_t>(elapsedMs)), milliseconds(static_cast<std::int64_t>(expectedMs)), now);
 }
 
+bool isLeaving(const gate_state& gate, const endpoint_state& endpoint)
+{
+    return endpoint.entry.leaving || hasReportedLeaving(gate.selfReports, endpoint.entry.id, endpoint.entry.startUnixMs);
+}
+
+void recordReport(gate_state& gate, const attempt_state& attempt, const self_report& report, time_point now, gate_effects& effects)
+{
+    if (recordSelfReport(gate.selfReports, attempt.endpoint, attempt.endpointStartUnixMs, report, now))
+        effects.push_back(log_line { "endpoint", { { "id", attempt.endpoint }, { "start", std::to_string(attempt.endpointStartUnixMs) }, { "state", "leaving" }, { "reason", "its response says so" } } });
+}
+
 static health_signal healthSignalOf(const attempt_ended& event)
 {
     switch (event.outcome) {
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -16,6 +16,12 @@
 /** Whether the endpoint is cold at @p now: it started recently, or its zone was evacuated until recently. */
 bool isCold(const gate_state& gate, const endpoint_state& endpoint, time_point now);
 
+/** Whether the endpoint is about to end, by its registration or by its own responses, and must not get new requests. */
+bool isLeaving(const gate_state& gate, const endpoint_state& endpoint);
+
+/** Records and logs what the endpoint of an attempt said about itself in its response. */
+void recordReport(gate_state& gate, const attempt_state& attempt, const self_report& report, time_point now, gate_effects& effects);
+
 /** Trust in the membership view; cached for ViewCacheTime. */
 const view_trust& currentTrust(gate_state& gate, time_point now);
 
--- a/src/gate/gate_placement.cpp
+++ b/src/gate/gate_placement.cpp
@@ -104,7 +104,7 @@
     std::size_t total = 0;
     std::size_t ejected = 0;
     for (auto& [id, endpoint] : gate.endpoints) {
-        const bool matches = endpoint.entry.service == request.service && !endpoint.entry.leaving
+        const bool matches = endpoint.entry.service == request.service && !isLeaving(gate, endpoint)
             && gate.evacuatedZones.count(endpoint.entry.zone) == 0 && isAllowedRegion(*request.matchedRoute, endpoint.region);
         if (!matches)
             continue;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -84,6 +84,7 @@
     attempt_state attempt;
     attempt.id = ++gate.lastAttemptId;
     attempt.endpoint = endpoint.entry.id;
+    attempt.endpointStartUnixMs = endpoint.entry.startUnixMs;
     attempt.sentAt = now;
     attempt.expectedWithoutWaitMs = choice.expectedMs - choice.waitMs;
     attempt.waitMs = choice.waitMs;
@@ -211,6 +212,8 @@
     endedAttempt->staleConnection = event.staleConnection;
     if (event.outcome == dispatch_outcome::ConnectFailed)
         --request.countedAttempts;
+    if (event.report)
+        recordReport(gate, *endedAttempt, *event.report, now, effects);
     recordAttemptEnd(gate, request, *endedAttempt, event, now, effects);
     endedAttempt->failure = failureOf(event);
     if (verdictOf(event.outcome) != verdict::NotRun)
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -11,6 +11,7 @@
 #include "loss/loss_type.h"
 #include "placement/placement_type.h"
 #include "route/route_func.h"
+#include "self_report/self_report_type.h"
 #include <deque>
 #include <memory>
 #include <set>
@@ -55,6 +56,7 @@
 struct attempt_state {
     std::uint64_t id = 0; ///< Unique within the process.
     std::string endpoint; ///< Identity of the endpoint.
+    std::int64_t endpointStartUnixMs = 0; ///< The start of the endpoint that was registered when the attempt was made.
     time_point sentAt {}; ///< When it was passed to the shell.
     double expectedWithoutWaitMs = 0; ///< Expected time until the response, without waitMs.
     double waitMs = 0; ///< Expected wait for a slot.
@@ -111,6 +113,7 @@
     std::shared_ptr<const route_table> routes; ///< Configuration in force; null before the first.
     std::uint64_t configRevision = 0; ///< Store revision of the configuration.
     std::map<std::string, endpoint_state> endpoints; ///< By id of the endpoint.
+    self_report_table selfReports; ///< What endpoints have said about themselves.
     bool endpointsKnown = false; ///< A complete list of endpoints was read.
     std::set<std::string> evacuatedZones; ///< Evacuated zones; their endpoints get no requests.
     std::map<std::string, time_point> zoneColdUntil; ///< By zone whose evacuation ended: until when all its endpoints count as cold.
--- /dev/null
+++ b/src/self_report/self_report_type.h
@@ -0,0 +1,26 @@
+/** @file self_report_type.h What endpoints say about themselves in their responses. */
+#pragma once
+
+#include "core/time_type.h"
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lhub {
+
+/** What an endpoint says about itself in the header of one response. */
+struct self_report {
+    bool leaving = false; ///< It is about to end and must not get new requests.
+};
+
+/** What is known from the reports of one start of an endpoint. */
+struct self_report_state {
+    std::int64_t startUnixMs = 0; ///< The start that the reports are about, as in endpoint_registration.
+    time_point reportedAt {}; ///< When the newest report was received.
+    time_point leavingSince {}; ///< When it was first known to leave; the epoch while it is not. It stays set until the endpoint starts again.
+};
+
+/** The states by id of the endpoint. Kept apart from the registrations, since these may be lost, or come back as they were before a report. */
+using self_report_table = std::map<std::string, self_report_state>;
+
+} // namespace lhub
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -184,6 +184,7 @@
         }
         attempt.facts = platform::decodeEndpointHeaders(attempt.parser->get(), attempt.parser->get().result_int());
         const bool matches = attempt.facts.id == exchange.callerRequestId || (attempt.facts.id.empty() && attempt.facts.notRun && firstUse && stray == 0);
+        attempt.matched = matches;
         if (matches)
             co_return true;
         const bool skipped = co_await discardBody(shell, attempt);
@@ -246,6 +247,8 @@
     event.waiting = attempt.facts.waiting;
     event.slots = attempt.facts.slots;
     event.coldLeft = attempt.facts.coldLeft;
+    if (attempt.matched && !attempt.facts.misdirected)
+        event.report = attempt.facts.report;
     event.connectTook = attempt.connectTook;
     event.connectTimedOut = attempt.connectTimedOut;
     event.staleConnection = event.outcome == dispatch_outcome::NoResponse && isStaleConnection(attempt, shell.clock.now());
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -65,6 +65,7 @@
     bool cancelled = false; ///< Set by cancelAttempt(); its response is not needed.
     bool endReported = false; ///< The reducer was told how it ended.
     platform::endpoint_facts facts; ///< From the header section of the response.
+    bool matched = false; ///< The response belongs to this request.
 };
 
 /** One request of a caller, until its response is written or its connection has ended. */
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -657,3 +657,84 @@
     REQUIRE(find<send_response>(rig));
     CHECK(loggedField(rig, "answer", "cause") != "refused_again");
 }
+
+/** Ends an attempt with a complete response in which the endpoint says something about itself. */
+static void answerWithReport(gate_rig& rig, const send_attempt& sent, const self_report& report, unsigned status = 200)
+{
+    auto event = attemptEnded(sent, status == 503 ? dispatch_outcome::Shed : dispatch_outcome::Whole, status);
+    event.report = report;
+    feed(rig, event);
+}
+
+/** Sends requests for many objects, answers each, and returns how many were sent to an endpoint. */
+static unsigned countSentTo(gate_rig& rig, const std::string& endpoint)
+{
+    unsigned sent = 0;
+    for (int i = 0; i < 60; ++i) {
+        sendRequest(rig, "/read/x", "object-" + std::to_string(i));
+        const auto* attempt = find<send_attempt>(rig);
+        if (!attempt)
+            continue;
+        const send_attempt copy = *attempt;
+        sent += copy.endpoint == endpoint ? 1 : 0;
+        feed(rig, attemptEnded(copy, dispatch_outcome::Whole, 200));
+    }
+    return sent;
+}
+
+/** Sends a request that goes to the endpoint. */
+static send_attempt sendUntil(gate_rig& rig, const std::string& endpoint, const std::string& target = "/read/x")
+{
+    for (int i = 0;; ++i) {
+        sendRequest(rig, target, "object-" + std::to_string(i));
+        const send_attempt sent = *find<send_attempt>(rig);
+        if (sent.endpoint == endpoint)
+            return sent;
+        feed(rig, attemptEnded(sent, dispatch_outcome::Whole, 200));
+    }
+}
+
+TEST_CASE("an endpoint that says in a response that it leaves gets no request any more, whatever the store says of this start")
+{
+    auto rig = makeRig();
+    const auto sent = sendUntil(rig, "e2");
+    answerWithReport(rig, sent, { true });
+    CHECK(find<relay_response>(rig));
+    CHECK(countSentTo(rig, "e2") == 0);
+    auto entry = makeEntry("e2", "a1");
+    feed(rig, endpoint_updated { entry }); // An older registration is read again.
+    CHECK(countSentTo(rig, "e2") == 0);
+    feed(rig, endpoint_removed { "e2" }); // Its registration expires and returns.
+    rig.now += seconds(60);
+    feed(rig, endpoint_updated { entry });
+    CHECK(countSentTo(rig, "e2") == 0);
+    entry.startUnixMs = 7;
+    feed(rig, endpoint_updated { entry });
+    CHECK(countSentTo(rig, "e2") > 0);
+}
+
+TEST_CASE("neither a retry nor a hedge goes to an endpoint that says that it leaves")
+{
+    auto rig = makeRig({ "e1", "e2" });
+    answerWithReport(rig, sendUntil(rig, "e2"), { true });
+    const auto sent = sendUntil(rig, "e1");
+    feed(rig, attemptEnded(sent, dispatch_outcome::Truncated, 200));
+    CHECK_FALSE(find<send_attempt>(rig));
+    CHECK(find<send_response>(rig));
+    sendRequest(rig, "/read/x", "slow");
+    REQUIRE(find<send_attempt>(rig)->endpoint == "e1");
+    rig.now = find<set_request_timer>(rig)->at;
+    feed(rig, request_timer_expired { rig.lastId });
+    CHECK_FALSE(find<send_attempt>(rig));
+}
+
+TEST_CASE("a report of leaving counts for the start of the endpoint that the request was sent to")
+{
+    auto rig = makeRig();
+    const auto sent = sendUntil(rig, "e2");
+    auto entry = makeEntry("e2", "a1");
+    entry.startUnixMs = 7;
+    feed(rig, endpoint_updated { entry });
+    answerWithReport(rig, sent, { true });
+    CHECK(countSentTo(rig, "e2") > 0);
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -119,6 +119,12 @@
     CHECK(decodeEndpointHeaders(response, 421).notRun);
     response.set("X-Server-Load", "3,9,3");
     CHECK(decodeEndpointHeaders(response, 421).running == 3); // The endpoint does not count a request that did not run.
+    CHECK_FALSE(decoded.report.leaving);
+    response.set("Server-Leaving", "1");
+    CHECK(decodeEndpointHeaders(response, 200).report.leaving);
+    CHECK(decodeEndpointHeaders(response, 503).report.leaving);
+    response.set("Server-Leaving", "0");
+    CHECK_FALSE(decodeEndpointHeaders(response, 200).report.leaving);
     http::fields own;
     addRetryAfter(own, milliseconds(250));
     CHECK(own[http::field::retry_after] == "0.250");
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -292,6 +292,25 @@
     CHECK(rig->gate->counters.attempts == 2);
 }
 
+TEST_CASE("serve: an endpoint whose response says that it leaves gets no further request on a kept connection")
+{
+    auto rig = makeRig(2);
+    const auto caller = connectCaller(*rig);
+    sendBytes(*caller, getRequest("/read/x", "first"));
+    awaitResponses(*rig, *caller, 1);
+    const auto leaving = rig->endpoints[rig->endpoints[0]->runs.count("first") == 1 ? 0 : 1];
+    leaving->leaving = true;
+    sendBytes(*caller, getRequest("/read/x", "told"));
+    awaitResponses(*rig, *caller, 2);
+    CHECK(leaving->runs.count("told") == 1);
+    for (int i = 0; i < 5; ++i) {
+        sendBytes(*caller, getRequest("/read/x", "after" + std::to_string(i)));
+        awaitResponses(*rig, *caller, 3U + static_cast<std::size_t>(i));
+        CHECK(leaving->runs.count("after" + std::to_string(i)) == 0);
+    }
+    CHECK(countOccurrences(caller->received, "HTTP/1.1 200") == 7);
+}
+
 TEST_CASE("serve: surplus responses and responses to other requests are never relayed")
 {
     auto rig = makeRig(1);
