Fix: An endpoint that refuses with a Retry-After gets nothing of this VM meanwhile

A VM went on to send requests to an endpoint that had refused one with 503 and Retry-After, so callers waited for refusals and a second attempt: the header was not read.

Change: platform/ decodes Retry-After of a 503 into self_report::pause (seconds, also fractions; a date, a malformed or a negative value counts as missing; 600 s at most). The reducer keeps it by endpoint and start beside the leaving. Placement treats the endpoint as unusable until then, for first attempts, retries, hedges, trials after an ejection, and also where so many endpoints are ejected that ejections are ignored. It still counts for its region's slots, so that objects return to it. When nothing is usable, the caller's Retry-After is the time until the first endpoint takes requests again.

Evidence: new tests in test_gate.cpp, test_serve.cpp and test_platform.cpp.

--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -61,10 +61,21 @@
     return endpoint.entry.leaving || hasReportedLeaving(gate.selfReports, endpoint.entry.id, endpoint.entry.startUnixMs);
 }
 
+bool isPaused(const gate_state& gate, const endpoint_state& endpoint, time_point now)
+{
+    return now < pausedUntil(gate.selfReports, endpoint.entry.id, endpoint.entry.startUnixMs);
+}
+
 void recordReport(gate_state& gate, const attempt_state& attempt, const self_report& report, time_point now, gate_effects& effects)
 {
-    if (recordSelfReport(gate.selfReports, attempt.endpoint, attempt.endpointStartUnixMs, report, now))
-        effects.push_back(log_line { "endpoint", { { "id", attempt.endpoint }, { "start", std::to_string(attempt.endpointStartUnixMs) }, { "state", "leaving" }, { "reason", "its response says so" } } });
+    const auto change = recordSelfReport(gate.selfReports, attempt.endpoint, attempt.endpointStartUnixMs, report, now);
+    const std::pair<std::string_view, std::string> id { "id", attempt.endpoint };
+    const std::pair<std::string_view, std::string> start { "start", std::to_string(attempt.endpointStartUnixMs) };
+    const std::pair<std::string_view, std::string> reason { "reason", "its response says so" };
+    if (change.leaving)
+        effects.push_back(log_line { "endpoint", { id, start, { "state", "leaving" }, reason } });
+    if (change.paused)
+        effects.push_back(log_line { "endpoint", { id, start, { "state", "paused" }, reason, { "for_ms", std::to_string(report.pause.count()) } } });
 }
 
 static health_signal healthSignalOf(const attempt_ended& event)
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -19,6 +19,9 @@
 /** Whether the endpoint is about to end, by its registration or by its own responses, and must not get new requests. */
 bool isLeaving(const gate_state& gate, const endpoint_state& endpoint);
 
+/** Whether the endpoint has told this VM to send nothing until later than @p now. */
+bool isPaused(const gate_state& gate, const endpoint_state& endpoint, time_point now);
+
 /** Records and logs what the endpoint of an attempt said about itself in its response. */
 void recordReport(gate_state& gate, const attempt_state& attempt, const self_report& report, time_point now, gate_effects& effects);
 
--- a/src/gate/gate_placement.cpp
+++ b/src/gate/gate_placement.cpp
@@ -79,11 +79,11 @@
     return gate.trust;
 }
 
-/** Whether an endpoint that is not ejected may get a request now. After an ejection it gets one attempt at a time until one
+/** Whether an endpoint that is not ejected may get a request now. It gets none while it wants none of this VM. After an ejection it gets one attempt at a time until one
  *  succeeds; while it is cold it gets requests from one VM only, at a limited rate. */
 static bool isUsable(gate_state& gate, endpoint_state& endpoint, time_point now)
 {
-    if (endpoint.health.onTrial && endpoint.inFlight > 0)
+    if (isPaused(gate, endpoint, now) || (endpoint.health.onTrial && endpoint.inFlight > 0))
         return false;
     if (!isCold(gate, endpoint, now))
         return true;
@@ -133,7 +133,7 @@
     // When more than half of the endpoints are ejected, a common cause such as the network is more likely: ejections are ignored.
     for (std::size_t i = 0; ejected * 2 > total && i < list.candidates.size(); ++i) {
         auto& endpoint = *list.endpoints[i];
-        if (isEjected(endpoint.health, now) && !wasTried(request, endpoint.entry.id))
+        if (isEjected(endpoint.health, now) && !wasTried(request, endpoint.entry.id) && !isPaused(gate, endpoint, now))
             list.candidates[i].usable = !isCold(gate, endpoint, now) || isUsable(gate, endpoint, now);
     }
     // Without any other endpoint, the request may return to one where it failed only on stale connections.
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -5,7 +5,9 @@
 #include "core/hash.h"
 #include "distance/distance_func.h"
 #include "limit/limit_func.h"
+#include "self_report/self_report_func.h"
 #include <algorithm>
+#include <limits>
 
 namespace lhub {
 
@@ -132,6 +134,19 @@
     return mayRetryWithin(gate.retryCounts[request.service], gate.self.retryBounds, 2 * vms, now);
 }
 
+/** Expected wait of a request that no endpoint may get now: until the first of them that has told this VM to send nothing takes requests again. */
+static double waitForUsableMs(const gate_state& gate, const candidate_list& list, time_point now)
+{
+    double waitMs = std::numeric_limits<double>::max();
+    for (const auto* endpoint : list.endpoints) {
+        const auto until = pausedUntil(gate.selfReports, endpoint->entry.id, endpoint->entry.startUnixMs);
+        if (now < until)
+            waitMs = std::min(waitMs, toMilliseconds(until - now));
+    }
+    const auto shortest = static_cast<double>(MinRetryAfter.count());
+    return waitMs == std::numeric_limits<double>::max() ? shortest : std::max(shortest, waitMs);
+}
+
 /** Chooses an endpoint and sends the request there, or responds with an error. */
 static void placeAndSend(gate_state& gate, time_point now, std::uint64_t id, gate_effects& effects)
 {
@@ -139,7 +154,7 @@
     const auto list = candidatesFor(gate, request, now);
     const auto choice = choosePlacement(gate, request, list, now);
     if (!choice) {
-        failRequest(gate, now, id, static_cast<double>(MinRetryAfter.count()), "no endpoint can take it", loss_cause::NotReady, effects);
+        failRequest(gate, now, id, waitForUsableMs(gate, list, now), "no endpoint can take it", loss_cause::NotReady, effects);
         return;
     }
     const auto admission = admitRequest({ choice->waitMs, choice->expectedMs, toMilliseconds(request.deadline - now - ResponseTransitTime),
--- a/src/self_report/self_report.cpp
+++ b/src/self_report/self_report.cpp
@@ -23,20 +23,31 @@
     table.erase(std::min_element(table.begin(), table.end(), [](const auto& a, const auto& b) { return a.second.reportedAt < b.second.reportedAt; }));
 }
 
-bool recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now)
+self_report_change recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now)
 {
     const bool known = findState(table, id, startUnixMs) != nullptr;
-    if (!known && !report.leaving)
-        return false;
+    const bool saysNothing = !report.leaving && report.pause.count() <= 0;
+    if (!known && saysNothing)
+        return {};
     auto& state = table[id];
     if (!known)
-        state = { startUnixMs, now, {} };
+        state = { startUnixMs, now, {}, {} };
     state.reportedAt = now;
-    const bool newlyLeaving = report.leaving && state.leavingSince == time_point {};
-    if (newlyLeaving)
+    self_report_change change;
+    change.leaving = report.leaving && state.leavingSince == time_point {};
+    if (change.leaving)
         state.leavingSince = now;
+    change.paused = report.pause.count() > 0 && now + report.pause > state.pausedUntil;
+    if (change.paused)
+        state.pausedUntil = now + report.pause;
     dropOldest(table);
-    return newlyLeaving;
+    return change;
+}
+
+time_point pausedUntil(const self_report_table& table, const std::string& id, std::int64_t startUnixMs)
+{
+    const auto* state = findState(table, id, startUnixMs);
+    return state ? state->pausedUntil : time_point {};
 }
 
 bool hasReportedLeaving(const self_report_table& table, const std::string& id, std::int64_t startUnixMs)
--- a/src/self_report/self_report_func.h
+++ b/src/self_report/self_report_func.h
@@ -9,9 +9,12 @@
  * Records a report. A report about another start than the one that is known replaces the state. Drops the states with the oldest reports
  * when there are too many. Not thread safe.
  * @param startUnixMs the start of the endpoint that the request was sent to.
- * @return whether the endpoint is newly known to leave.
+ * @return what the endpoint had not said before.
  */
-bool recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now);
+self_report_change recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now);
+
+/** Until when this start of the endpoint wants no requests of this VM; the epoch when it has not said so. Thread safe on a const object. */
+time_point pausedUntil(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
 /** Whether this start of the endpoint has reported that it leaves. Thread safe on a const object. */
 bool hasReportedLeaving(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -698,7 +698,7 @@
 {
     auto rig = makeRig();
     const auto sent = sendUntil(rig, "e2");
-    answerWithReport(rig, sent, { true });
+    answerWithReport(rig, sent, { true, {} });
     CHECK(find<relay_response>(rig));
     CHECK(countSentTo(rig, "e2") == 0);
     auto entry = makeEntry("e2", "a1");
@@ -716,7 +716,7 @@
 TEST_CASE("neither a retry nor a hedge goes to an endpoint that says that it leaves")
 {
     auto rig = makeRig({ "e1", "e2" });
-    answerWithReport(rig, sendUntil(rig, "e2"), { true });
+    answerWithReport(rig, sendUntil(rig, "e2"), { true, {} });
     const auto sent = sendUntil(rig, "e1");
     feed(rig, attemptEnded(sent, dispatch_outcome::Truncated, 200));
     CHECK_FALSE(find<send_attempt>(rig));
@@ -735,6 +735,38 @@
     auto entry = makeEntry("e2", "a1");
     entry.startUnixMs = 7;
     feed(rig, endpoint_updated { entry });
-    answerWithReport(rig, sent, { true });
+    answerWithReport(rig, sent, { true, {} });
     CHECK(countSentTo(rig, "e2") > 0);
 }
+
+TEST_CASE("an endpoint that refuses with a Retry-After gets nothing of this VM until the time has passed")
+{
+    auto rig = makeRig();
+    answerWithReport(rig, sendUntil(rig, "e2"), { false, milliseconds(2500) }, 503);
+    if (const auto* retry = find<send_attempt>(rig)) {
+        const send_attempt copy = *retry;
+        CHECK(copy.endpoint != "e2");
+        feed(rig, attemptEnded(copy, dispatch_outcome::Whole, 200));
+    }
+    rig.now += milliseconds(2499);
+    auto entry = makeEntry("e2", "a1");
+    feed(rig, endpoint_removed { "e2" });
+    feed(rig, endpoint_updated { entry });
+    CHECK(countSentTo(rig, "e2") == 0);
+    rig.now += milliseconds(1);
+    CHECK(countSentTo(rig, "e2") > 0);
+}
+
+TEST_CASE("when all endpoints want nothing for a while, requests are refused at once with a Retry-After, although most endpoints are ejected")
+{
+    auto rig = makeRig();
+    for (const auto* id : { "e1", "e2", "e3" }) {
+        rig.gate.selfReports[id].pausedUntil = rig.now + milliseconds(700);
+        rig.gate.endpoints.at(id).health.ejectedUntil = rig.now + milliseconds(3000);
+    }
+    sendRequest(rig, "/read/x", "o", milliseconds(6000));
+    CHECK_FALSE(find<send_attempt>(rig));
+    REQUIRE(find<send_response>(rig));
+    CHECK(find<send_response>(rig)->status == 503);
+    CHECK(find<send_response>(rig)->retryAfter > milliseconds(500));
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -123,6 +123,12 @@
     response.set("Server-Leaving", "1");
     CHECK(decodeEndpointHeaders(response, 200).report.leaving);
     CHECK(decodeEndpointHeaders(response, 503).report.leaving);
+    for (const auto& [text, expected] : std::vector<std::pair<std::string, int>> { { "2", 2000 }, { "0.25", 250 }, { "0.0001", 1 }, { "-1", 0 }, { "soon", 0 }, { "1s", 0 }, { "nan", 0 }, { "inf", 600'000 }, { "1e300", 600'000 }, { "", 0 } }) {
+        CAPTURE(text);
+        response.set(http::field::retry_after, text);
+        CHECK(decodeEndpointHeaders(response, 503).report.pause == milliseconds(expected));
+        CHECK(decodeEndpointHeaders(response, 200).report.pause == milliseconds(0));
+    }
     response.set("Server-Leaving", "0");
     CHECK_FALSE(decodeEndpointHeaders(response, 200).report.leaving);
     http::fields own;
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -311,6 +311,23 @@
     CHECK(countOccurrences(caller->received, "HTTP/1.1 200") == 7);
 }
 
+TEST_CASE("serve: an endpoint that refuses with a Retry-After gets no further request meanwhile")
+{
+    auto rig = makeRig(2);
+    const auto caller = connectCaller(*rig);
+    sendBytes(*caller, getRequest("/read/x", "first"));
+    awaitResponses(*rig, *caller, 1);
+    const auto full = rig->endpoints[rig->endpoints[0]->runs.count("first") == 1 ? 0 : 1];
+    full->behaviour = endpoint_behaviour::Shed;
+    full->retryAfter = "60";
+    for (int i = 0; i < 6; ++i) {
+        sendBytes(*caller, getRequest("/read/x", "id" + std::to_string(i)));
+        awaitResponses(*rig, *caller, 2U + static_cast<std::size_t>(i));
+    }
+    CHECK(countOccurrences(caller->received, "HTTP/1.1 200") == 7);
+    CHECK(full->refusals == 1);
+}
+
 TEST_CASE("serve: surplus responses and responses to other requests are never relayed")
 {
     auto rig = makeRig(1);
