Fix: A VM that alone was cut off from the store no longer delays the removal of endpoints at the VMs that follow it

After an outage of the store, deletions of endpoints wait 2.2 s, since registrations that expired meanwhile return in that time. A VM told those that call it when its own contact came back, and they took that for an outage of the store: with up to 0.5 s until the deletion arrives, requests went to an endpoint that had left without registering as leaving up to 2.7 s after the acknowledgement, where 2.5 s are allowed (DRAIN).

Change: a VM that was up to date all along, by its own watch or by the VMs it follows, ignores when another one regained the store.

Evidence: the new test fails on the old code for all three followers.

--- a/src/serve/serve_peer.cpp
+++ b/src/serve/serve_peer.cpp
@@ -174,8 +174,10 @@
 /** Records what another VM reports about the store. @param ip of that VM. @param sinceRecovery time since the end of the last outage; negative for none. */
 static void recordPeerStoreState(gate_shell& shell, const std::string& ip, bool storeLost, milliseconds sinceRecovery)
 {
-    // Endpoints whose entries expired during the outage get time to register again, at this VM as well; see removeEndpoint().
-    if (sinceRecovery.count() >= 0)
+    // Endpoints whose entries expired during the outage get time to register again, at this VM as well; see removeEndpoint(). When this VM
+    // has been up to date all along, only the other VM was cut off from the store, and deletions take effect at once.
+    const bool wasUpToDate = shell.storeLostAt == time_point {} && isUpToDate(shell);
+    if (sinceRecovery.count() >= 0 && !wasUpToDate)
         shell.storeRecoveredAt = std::max(shell.storeRecoveredAt, shell.clock.now() - sinceRecovery);
     if (!storeLost)
         return;
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -769,6 +769,39 @@
         CHECK(gate->storeRecoveredAt != time_point {}); // Set, so that endpoints whose entries expired in the outage get time to register again.
 }
 
+TEST_CASE("serve: a VM that was cut off from the store alone does not delay the removal of endpoints at those that follow it")
+{
+    auto rig = makeRig(2);
+    std::vector<std::unique_ptr<gate_shell>> others;
+    std::vector<gate_shell*> gates { rig->gate.get() };
+    for (int i = 2; i <= 6; ++i) {
+        auto settings = settingsAt(*rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
+        settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
+        others.push_back(startGate(*rig, settings));
+        gates.push_back(others.back().get());
+    }
+    const auto followers = [&] { return std::count_if(gates.begin(), gates.end(), [&](const auto* gate) { return !gate->watchesStore && rig->clock.now() - gate->peerAnsweredAt < milliseconds(900); }); };
+    runUntil(*rig, [&] { return followers() == 3; });
+    std::vector<std::uint64_t> callsBefore;
+    for (auto* gate : gates) {
+        callsBefore.push_back(gate->counters.peerCalls);
+        if (gate->watchesStore)
+            gate->storeRecoveredAt = rig->clock.now(); // As after a cut between this VM and the store.
+    }
+    const auto calledAgain = [&] {
+        for (std::size_t i = 0; i < gates.size(); ++i) {
+            if (!gates[i]->watchesStore && gates[i]->counters.peerCalls < callsBefore[i] + 4)
+                return false;
+        }
+        return true;
+    };
+    runUntil(*rig, calledAgain);
+    for (const auto* gate : gates) {
+        if (!gate->watchesStore)
+            CHECK(gate->storeRecoveredAt == time_point {});
+    }
+}
+
 TEST_CASE("serve: calls for updates that end without a change leave no waiter behind")
 {
     auto rig = makeRig(1);
