Fix: Requests to an endpoint that names a limit stay within it, summed over all VMs

An endpoint in need got several times the requests that it had said it takes (Server-Limit); callers were sent where nothing could be promised. The header was not read, and each VM placed requests as if nothing had been said.

Change: platform/ decodes the header into self_report::requestsPerSecond; a response without it ends the limit. The limit of 4 s is divided among the VMs by construction, without messages or leases: quotaOf() gives each VM whole requests, in proportion to the requests that it is expected to have for the endpoint's region (the regions' shares of objects, the VM's part of its region's capacity). All VMs compute the same division, and the parts add up. VMs count whether alive or not, so VMs that don't see each other still share; a VM whose view has not settled has no quota. What the quota does not allow goes to the object's next endpoint; this holds for retries, hedges and trials after an ejection as well. A VM without a quota asks with rare single requests whether the limit is still there, the more rarely the more VMs there are. Log: event=endpoint state=limited or unlimited.

--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -74,6 +74,8 @@
     const std::pair<std::string_view, std::string> reason { "reason", "its response says so" };
     if (change.leaving)
         effects.push_back(log_line { "endpoint", { id, start, { "state", "leaving" }, reason } });
+    if (change.limit)
+        effects.push_back(log_line { "endpoint", { id, start, { "state", report.requestsPerSecond ? "limited" : "unlimited" }, reason, { "requests_per_s", std::to_string(report.requestsPerSecond.value_or(0)) } } });
     if (change.paused)
         effects.push_back(log_line { "endpoint", { id, start, { "state", "paused" }, reason, { "for_ms", std::to_string(report.pause.count()) } } });
 }
--- a/src/gate/gate_placement.cpp
+++ b/src/gate/gate_placement.cpp
@@ -1,11 +1,13 @@
 /** @file gate_placement.cpp Prepares the input of placement: candidates, expected times and limits. */
 #include "gate/gate_internal.h"
 
+#include "core/hash.h"
 #include "distance/distance_func.h"
 #include "gossip/gossip_func.h"
 #include "health/health_func.h"
 #include "limit/limit_func.h"
 #include "placement/placement_func.h"
+#include "self_report/self_report_func.h"
 #include <algorithm>
 
 namespace lhub {
@@ -23,6 +25,8 @@
 /** For how long results that depend on the membership view are cached: less than a round of gossip, and too short to be used
  *  after a pause of the process. */
 static constexpr milliseconds ViewCacheTime { 200 };
+/** How long the quota of an endpoint with a limit is cached; it changes with the members and with the slots of the regions. */
+static constexpr milliseconds QuotaCacheTime { 1000 };
 /** Maximum number of requests in a thousand, over the last two seconds, that are moved to other regions because of load. */
 static constexpr std::uint32_t MaxMovedPermille = 80;
 
@@ -79,11 +83,56 @@
     return gate.trust;
 }
 
-/** Whether an endpoint that is not ejected may get a request now. It gets none while it wants none of this VM. After an ejection it gets one attempt at a time until one
+/** The part of this VM in the requests that an endpoint takes from all VMs within LimitWindow. VMs count whether they are alive or not, so
+ *  that VMs that do not see each other share the limit all the same. */
+static std::uint32_t limitQuota(gate_state& gate, const endpoint_state& endpoint, double requestsPerSecond, time_point now)
+{
+    if (!currentTrust(gate, now).settled)
+        return 0;
+    std::map<std::string_view, double> slots;
+    for (const auto& [id, other] : gate.endpoints) {
+        if (other.entry.service == endpoint.entry.service && !isLeaving(gate, other))
+            slots[other.region] += other.entry.slots;
+    }
+    const auto members = recentMembers(gate.members, gate.gossip, now);
+    std::map<std::string_view, double> capacityByRegion; // Callers choose VMs in proportion to their capacity.
+    for (const auto* member : members)
+        capacityByRegion[regionOf(gate.members, member->zone)] += std::max(1U, member->requestsPerSecond);
+    std::map<std::string_view, double> partByRegion; // Part of a region's objects that the region of the endpoint serves.
+    double parts = 0;
+    for (const auto& [region, capacity] : capacityByRegion) {
+        for (const auto& [target, part] : sharesOf(region, slots, 1))
+            partByRegion[region] += target == endpoint.region ? part : 0;
+        parts += partByRegion[region];
+    }
+    std::vector<quota_holder> holders;
+    for (const auto* member : members) {
+        const auto& region = regionOf(gate.members, member->zone);
+        holders.push_back({ member->vm, (parts > 0 ? partByRegion[region] : 1) * std::max(1U, member->requestsPerSecond) / capacityByRegion[region] });
+    }
+    return quotaOf(holders, gate.self.vm, requestsPerLimitWindow(requestsPerSecond), stableHash(endpoint.entry.id));
+}
+
+/** Whether the endpoint takes a request of this VM now, by what it has said about itself: it has not asked for a pause, and its limit is not reached. */
+static bool takesRequests(gate_state& gate, const endpoint_state& endpoint, time_point now)
+{
+    if (isPaused(gate, endpoint, now))
+        return false;
+    auto* limited = limitedState(gate.selfReports, endpoint.entry.id, endpoint.entry.startUnixMs);
+    if (!limited)
+        return true;
+    if (limited->quotaComputedAt == time_point {} || now - limited->quotaComputedAt > QuotaCacheTime) {
+        limited->quota = limitQuota(gate, endpoint, *limited->requestsPerSecond, now);
+        limited->quotaComputedAt = now;
+    }
+    return maySendWithinLimit(*limited, currentTrust(gate, now).recentMembers, now);
+}
+
+/** Whether an endpoint that is not ejected may get a request now. After an ejection it gets one attempt at a time until one
  *  succeeds; while it is cold it gets requests from one VM only, at a limited rate. */
 static bool isUsable(gate_state& gate, endpoint_state& endpoint, time_point now)
 {
-    if (isPaused(gate, endpoint, now) || (endpoint.health.onTrial && endpoint.inFlight > 0))
+    if (!takesRequests(gate, endpoint, now) || (endpoint.health.onTrial && endpoint.inFlight > 0))
         return false;
     if (!isCold(gate, endpoint, now))
         return true;
@@ -133,7 +182,7 @@
     // When more than half of the endpoints are ejected, a common cause such as the network is more likely: ejections are ignored.
     for (std::size_t i = 0; ejected * 2 > total && i < list.candidates.size(); ++i) {
         auto& endpoint = *list.endpoints[i];
-        if (isEjected(endpoint.health, now) && !wasTried(request, endpoint.entry.id) && !isPaused(gate, endpoint, now))
+        if (isEjected(endpoint.health, now) && !wasTried(request, endpoint.entry.id) && takesRequests(gate, endpoint, now))
             list.candidates[i].usable = !isCold(gate, endpoint, now) || isUsable(gate, endpoint, now);
     }
     // Without any other endpoint, the request may return to one where it failed only on stale connections.
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -100,6 +100,8 @@
         countEvent(gate.crossRegionMoves, now);
     if (isCold(gate, endpoint, now))
         endpoint.coldDispatches.sentTimes.push_back(now);
+    if (auto* limited = limitedState(gate.selfReports, endpoint.entry.id, endpoint.entry.startUnixMs))
+        recordDispatch(*limited, now);
     auto& keys = endpoint.recentKeys;
     keys.erase(std::remove(keys.begin(), keys.end(), request.key), keys.end());
     keys.push_back(request.key);
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -35,7 +35,7 @@
     endpoint_registration entry; ///< Newest registration.
     std::string region; ///< Region of its zone; the zone's name when the zone is unknown.
     time_point coldUntil {}; ///< End of its cold time after a start.
-    cold_dispatches coldDispatches; ///< Requests that this VM sent while it was cold.
+    recent_dispatches coldDispatches; ///< Requests that this VM sent while it was cold.
     bool coldOwner = false; ///< Cached result of ownsColdEndpoint().
     time_point coldOwnerCheckedAt {}; ///< When coldOwner was computed.
     endpoint_health health; ///< From this VM's own attempts only.
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -28,8 +28,7 @@
     }
 }
 
-/** Region of a zone; a zone that is not configured counts as a region of its own. */
-static const std::string& regionOf(const member_table& table, const std::string& zone)
+const std::string& regionOf(const member_table& table, const std::string& zone)
 {
     const auto found = table.regionOfZone.find(zone);
     return found == table.regionOfZone.end() ? zone : found->second;
@@ -61,6 +60,22 @@
     return result;
 }
 
+/** Whether the member may be running. */
+static bool isRecent(const member_table& table, const gossip_member& member, const gossip_settings& settings, time_point now)
+{
+    return member.record.vm == table.self || (member.heartbeatAt != time_point {} && now - member.heartbeatAt < settings.recentMemberPeriod);
+}
+
+std::vector<const member_record*> recentMembers(const member_table& table, const gossip_settings& settings, time_point now)
+{
+    std::vector<const member_record*> result;
+    for (const auto& [name, member] : table.members) {
+        if (isRecent(table, member, settings, now))
+            result.push_back(&member.record);
+    }
+    return result;
+}
+
 view_trust trustOf(const member_table& table, const gossip_settings& settings, time_point now)
 {
     view_trust trust;
@@ -69,8 +84,7 @@
     std::size_t aliveInRegion = 0;
     std::size_t recentInRegion = 0;
     for (const auto& [name, member] : table.members) {
-        const bool recent = name == table.self || (member.heartbeatAt != time_point {} && now - member.heartbeatAt < settings.recentMemberPeriod);
-        if (!recent)
+        if (!isRecent(table, member, settings, now))
             continue;
         ++trust.recentMembers;
         if (isInOtherRegion(table, member))
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -22,6 +22,13 @@
 /** Whether a zone lies in the region of this VM. Thread safe on a const object. */
 bool isSameRegion(const member_table& table, const std::string& zone);
 
+/** Region of a zone; a zone that is not configured counts as a region of its own. Valid until the table changes. Thread safe on a const object. */
+const std::string& regionOf(const member_table& table, const std::string& zone);
+
+/** Members that may be running: this VM, and those whose newest heartbeat is within gossip_settings::recentMemberPeriod. Ordered by
+ *  name. The pointers are valid until the table changes. Thread safe on a const object. */
+std::vector<const member_record*> recentMembers(const member_table& table, const gossip_settings& settings, time_point now);
+
 /** Live members, including this VM. The pointers are valid until the table changes. Thread safe on a const object. */
 std::vector<const member_record*> aliveMembers(const member_table& table, const gossip_settings& settings, time_point now);
 
--- a/src/limit/limit.cpp
+++ b/src/limit/limit.cpp
@@ -1,7 +1,9 @@
 /** @file limit.cpp Limits that hold for all VMs together without communication between them. */
 #include "limit/limit_func.h"
 
+#include "core/hash.h"
 #include <algorithm>
+#include <cmath>
 
 namespace lhub {
 
@@ -62,11 +64,36 @@
     return { CallerEighths * eighth, IdleEighths * eighth, RequestEighths * eighth, memoryMb * Megabyte / BodyMemoryDivisor };
 }
 
-bool maySendToCold(cold_dispatches& dispatches, double perSecond, time_point now)
+std::size_t dispatchesWithin(recent_dispatches& dispatches, milliseconds window, time_point now)
 {
-    while (!dispatches.sentTimes.empty() && now - dispatches.sentTimes.front() >= seconds(1))
+    while (!dispatches.sentTimes.empty() && now - dispatches.sentTimes.front() >= window)
         dispatches.sentTimes.pop_front();
-    return static_cast<double>(dispatches.sentTimes.size()) + 1 <= perSecond;
+    return dispatches.sentTimes.size();
+}
+
+std::uint32_t quotaOf(const std::vector<quota_holder>& holders, std::string_view self, std::uint32_t total, std::uint64_t seed)
+{
+    double weights = 0;
+    for (const auto& holder : holders)
+        weights += holder.weight;
+    if (weights <= 0)
+        return 0;
+    // Systematic sampling: the holders' parts lie side by side on a line, and each holder gets the points with a distance of 1 in its part.
+    constexpr double HashRange = 18446744073709551616.0; // 2^64
+    const double offset = static_cast<double>(stableHash("quota", seed)) / HashRange;
+    double before = 0;
+    for (const auto& holder : holders) {
+        const double after = before + holder.weight / weights;
+        if (holder.vm == self)
+            return static_cast<std::uint32_t>(std::floor(offset + total * after) - std::floor(offset + total * before));
+        before = after;
+    }
+    return 0;
+}
+
+bool maySendToCold(recent_dispatches& dispatches, double perSecond, time_point now)
+{
+    return static_cast<double>(dispatchesWithin(dispatches, seconds(1), now)) + 1 <= perSecond;
 }
 
 } // namespace lhub
--- a/src/limit/limit_func.h
+++ b/src/limit/limit_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "limit/limit_type.h"
+#include <vector>
 
 namespace lhub {
 
@@ -18,9 +19,22 @@
  */
 bool mayRetryWithin(const retry_counts& counts, const retry_bounds& bounds, std::uint32_t vms, time_point now);
 
+/** Requests that were sent within the @p window that ends now. Removes older entries from @p dispatches. Not thread safe. */
+std::size_t dispatchesWithin(recent_dispatches& dispatches, milliseconds window, time_point now);
+
+/**
+ * The part of this VM in a number of requests that all VMs together may send. The parts of all holders add up to @p total, although
+ * each VM computes only its own; a total smaller than the number of VMs goes to some of them. VMs that know different holders differ by
+ * little. Thread safe.
+ * @param holders all VMs that may send, in the same order on all VMs.
+ * @param self name of this VM.
+ * @param seed differs between endpoints, so that small totals go to different VMs.
+ */
+std::uint32_t quotaOf(const std::vector<quota_holder>& holders, std::string_view self, std::uint32_t total, std::uint64_t seed);
+
 /** Whether one more request may go to a cold endpoint without exceeding @p perSecond requests in the last second. Removes
  *  older entries from @p dispatches. Not thread safe. */
-bool maySendToCold(cold_dispatches& dispatches, double perSecond, time_point now);
+bool maySendToCold(recent_dispatches& dispatches, double perSecond, time_point now);
 
 /**
  * Divides the VM's descriptors and memory between their uses, so that all uses together stay within both, whatever callers
--- a/src/limit/limit_type.h
+++ b/src/limit/limit_type.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <string_view>
 
 namespace lhub {
 
@@ -28,11 +29,17 @@
     seconds window { 10 }; ///< Length of the window.
 };
 
-/** Requests that one VM sent to one cold endpoint within the last second. */
-struct cold_dispatches {
+/** Requests that this VM sent to one endpoint lately. */
+struct recent_dispatches {
     std::deque<time_point> sentTimes; ///< Oldest first.
 };
 
+/** A VM and the part that it has in the requests to an endpoint, relative to the others. */
+struct quota_holder {
+    std::string_view vm; ///< Name of the VM.
+    double weight = 0; ///< Expected part of the requests; 0 for a VM that gets no quota.
+};
+
 /** Limits on what one VM may have open at the same time. */
 struct resource_limits {
     std::size_t callerConnections = 0; ///< Connections of callers.
--- a/src/self_report/self_report_func.h
+++ b/src/self_report/self_report_func.h
@@ -16,6 +16,25 @@
 /** Until when this start of the endpoint wants no requests of this VM; the epoch when it has not said so. Thread safe on a const object. */
 time_point pausedUntil(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
+/** Time over which the requests of a limit are counted; a longer one allows a VM with little traffic to send its few requests together. */
+inline constexpr milliseconds LimitWindow { 4000 };
+
+/** Requests that all VMs together may send to an endpoint within LimitWindow; at least 1, so that reports go on to arrive. Thread safe. */
+std::uint32_t requestsPerLimitWindow(double requestsPerSecond);
+
+/** The state of this start of the endpoint if it has a limit in force; null otherwise. Valid until the table changes. Not thread safe. */
+self_report_state* limitedState(self_report_table& table, const std::string& id, std::int64_t startUnixMs);
+
+/**
+ * Whether this VM may send one more request without exceeding its quota. A VM whose newest report is old may send a single
+ * request, to learn whether the limit is still in force. Precondition: a limit is in force and its quota is computed. Not thread safe.
+ * @param vms number of VMs that may send to the endpoint.
+ */
+bool maySendWithinLimit(self_report_state& state, std::size_t vms, time_point now);
+
+/** Counts a request that is sent to an endpoint with a limit. Not thread safe. */
+void recordDispatch(self_report_state& state, time_point now);
+
 /** Whether this start of the endpoint has reported that it leaves. Thread safe on a const object. */
 bool hasReportedLeaving(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
--- a/src/self_report/self_report_type.h
+++ b/src/self_report/self_report_type.h
@@ -1,9 +1,9 @@
 /** @file self_report_type.h What endpoints say about themselves in their responses. */
 #pragma once
 
-#include "core/time_type.h"
-#include <cstdint>
+#include "limit/limit_type.h"
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lhub {
@@ -12,6 +12,7 @@
 struct self_report {
     bool leaving = false; ///< It is about to end and must not get new requests.
     milliseconds pause { 0 }; ///< It wants no requests of this VM for this long; 0 when it does not say so.
+    std::optional<double> requestsPerSecond; ///< Requests that it takes from all VMs together; empty for no limit.
 };
 
 /** What is known from the reports of one start of an endpoint. */
@@ -20,12 +21,18 @@
     time_point reportedAt {}; ///< When the newest report was received.
     time_point leavingSince {}; ///< When it was first known to leave; the epoch while it is not. It stays set until the endpoint starts again.
     time_point pausedUntil {}; ///< It wants no requests of this VM before this; the epoch when it never said so.
+    std::optional<double> requestsPerSecond; ///< Limit on the requests of all VMs in its newest report; empty for none.
+    recent_dispatches dispatches; ///< Requests that this VM sent since it knows of a limit.
+    time_point lastDispatchAt {}; ///< The newest of them; the epoch before the first.
+    std::uint32_t quota = 0; ///< Cached part of this VM in the requests of a limit window.
+    time_point quotaComputedAt {}; ///< When quota was computed; the epoch before the first time.
 };
 
 /** What a report changed. */
 struct self_report_change {
     bool leaving = false; ///< The endpoint is newly known to leave.
     bool paused = false; ///< The endpoint wants no requests for longer than was known.
+    bool limit = false; ///< Its limit is new, has another value, or is gone.
 };
 
 /** The states by id of the endpoint. Kept apart from the registrations, since these may be lost, or come back as they were before a report. */
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -1,6 +1,8 @@
 /** @file test_gate.cpp The reducer of lhub-gate: configuration, endpoints, and requests from arrival to response. */
+#include "core/hash.h"
 #include "gate/gate_func.h"
 #include "gossip/gossip_func.h"
+#include "lookup/lookup_func.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -698,7 +700,7 @@
 {
     auto rig = makeRig();
     const auto sent = sendUntil(rig, "e2");
-    answerWithReport(rig, sent, { true, {} });
+    answerWithReport(rig, sent, { true, {}, {} });
     CHECK(find<relay_response>(rig));
     CHECK(countSentTo(rig, "e2") == 0);
     auto entry = makeEntry("e2", "a1");
@@ -716,7 +718,7 @@
 TEST_CASE("neither a retry nor a hedge goes to an endpoint that says that it leaves")
 {
     auto rig = makeRig({ "e1", "e2" });
-    answerWithReport(rig, sendUntil(rig, "e2"), { true, {} });
+    answerWithReport(rig, sendUntil(rig, "e2"), { true, {}, {} });
     const auto sent = sendUntil(rig, "e1");
     feed(rig, attemptEnded(sent, dispatch_outcome::Truncated, 200));
     CHECK_FALSE(find<send_attempt>(rig));
@@ -735,14 +737,14 @@
     auto entry = makeEntry("e2", "a1");
     entry.startUnixMs = 7;
     feed(rig, endpoint_updated { entry });
-    answerWithReport(rig, sent, { true, {} });
+    answerWithReport(rig, sent, { true, {}, {} });
     CHECK(countSentTo(rig, "e2") > 0);
 }
 
 TEST_CASE("an endpoint that refuses with a Retry-After gets nothing of this VM until the time has passed")
 {
     auto rig = makeRig();
-    answerWithReport(rig, sendUntil(rig, "e2"), { false, milliseconds(2500) }, 503);
+    answerWithReport(rig, sendUntil(rig, "e2"), { false, milliseconds(2500), {} }, 503);
     if (const auto* retry = find<send_attempt>(rig)) {
         const send_attempt copy = *retry;
         CHECK(copy.endpoint != "e2");
@@ -770,3 +772,123 @@
     CHECK(find<send_response>(rig)->status == 503);
     CHECK(find<send_response>(rig)->retryAfter > milliseconds(500));
 }
+
+/** VMs of three regions with four endpoints each, under a steady load of requests for many objects. */
+struct fleet_rig {
+    std::vector<gate_rig> vms; ///< The VMs; the region of each is its index modulo 3.
+    double limit = 0; ///< Requests a second that endpoint a0 names in its responses; 0 for none.
+    std::vector<time_point> arrivals; ///< When requests arrived at a0.
+    std::deque<std::pair<std::size_t, send_attempt>> open; ///< Attempts that are not answered yet, with the index of their VM, oldest first.
+    std::uint64_t requests = 0; ///< Requests of callers so far.
+    std::uint64_t refused = 0; ///< Requests that no endpoint got.
+};
+
+static const std::vector<std::string> FleetRegions { "a", "b", "c" };
+
+static fleet_rig makeFleet(std::size_t count)
+{
+    fleet_rig fleet;
+    std::vector<member_record> members;
+    for (std::size_t i = 0; i < count; ++i)
+        members.push_back({ "vm" + std::to_string(i), "10.0.0." + std::to_string(i), FleetRegions[i % 3] + "1", 1, 1, true, true, requestsPerSecondOf({}), milliseconds(0), {} });
+    for (std::size_t i = 0; i < count; ++i) {
+        gate_parameters self;
+        self.vm = members[i].vm;
+        self.ip = members[i].ip;
+        self.zone = members[i].zone;
+        self.region = FleetRegions[i % 3];
+        self.regionOfZone = { { "a1", "a" }, { "b1", "b" }, { "c1", "c" } };
+        self.retryBounds = { 0.2, 64, seconds(10) };
+        gate_rig rig;
+        rig.gate = makeGate(self, 1);
+        feed(rig, config_received { makeTable(1, { makeRoute("/read/", true) }), 10 });
+        for (const auto& region : FleetRegions) {
+            for (int e = 0; e < 4; ++e)
+                feed(rig, endpoint_updated { makeEntry(region + std::to_string(e), region + "1") });
+        }
+        feed(rig, endpoints_listed {});
+        mergeMemberRecords(rig.gate.members, members, members[(i + 1) % count].vm, rig.now);
+        fleet.vms.push_back(std::move(rig));
+    }
+    return fleet;
+}
+
+/** Takes note of the attempts that the last event of a VM started. */
+static void collectAttempts(fleet_rig& fleet, std::size_t vm)
+{
+    const auto& rig = fleet.vms[vm];
+    for (const auto& effect : rig.effects) {
+        if (const auto* sent = std::get_if<send_attempt>(&effect)) {
+            fleet.open.emplace_back(vm, *sent);
+            if (sent->endpoint == "a0")
+                fleet.arrivals.push_back(rig.now);
+        }
+        if (std::holds_alternative<send_response>(effect))
+            ++fleet.refused;
+    }
+}
+
+/** Plays a load of @p perSecond requests to all VMs together; endpoints answer after 100 ms. */
+static void playLoad(fleet_rig& fleet, milliseconds duration, double perSecond)
+{
+    static constexpr milliseconds Step { 5 };
+    static constexpr std::size_t Objects = 400;
+    double due = 0;
+    for (milliseconds played { 0 }; played < duration; played += Step) {
+        for (auto& vm : fleet.vms)
+            vm.now += Step;
+        while (!fleet.open.empty() && fleet.vms[0].now - fleet.vms[fleet.open.front().first].gate.requests.at(fleet.open.front().second.request).attempts.back().sentAt >= milliseconds(100)) {
+            const auto [vm, sent] = fleet.open.front();
+            fleet.open.pop_front();
+            auto event = attemptEnded(sent, dispatch_outcome::Whole, 200);
+            event.report.emplace();
+            if (sent.endpoint == "a0" && fleet.limit > 0)
+                event.report->requestsPerSecond = fleet.limit;
+            feed(fleet.vms[vm], event);
+            collectAttempts(fleet, vm);
+        }
+        for (due += perSecond * std::chrono::duration<double>(Step).count(); due >= 1; --due) {
+            const auto number = ++fleet.requests;
+            const std::size_t vm = stableHash(std::to_string(number), 1) % fleet.vms.size();
+            sendRequest(fleet.vms[vm], "/read/x", "object-" + std::to_string(stableHash(std::to_string(number), 2) % Objects));
+            collectAttempts(fleet, vm);
+        }
+    }
+}
+
+/** Most arrivals in a window of 4 s that begins at @p from or later. */
+static std::size_t mostArrivals(const fleet_rig& fleet, time_point from)
+{
+    std::size_t most = 0;
+    for (auto first = fleet.arrivals.begin(); first != fleet.arrivals.end(); ++first) {
+        if (*first >= from)
+            most = std::max(most, static_cast<std::size_t>(std::count_if(first, fleet.arrivals.end(), [&](time_point at) { return at < *first + seconds(4); })));
+    }
+    return most;
+}
+
+TEST_CASE("an endpoint that names a limit gets no more than that from all VMs together, most of what it allows, and all again without a limit")
+{
+    for (const std::size_t vms : { 3U, 12U, 60U, 195U }) {
+        for (const double limit : { 2.0, 4.8, 9.8 }) {
+            CAPTURE(vms, limit);
+            auto fleet = makeFleet(vms);
+            const double load = 300;
+            playLoad(fleet, seconds(6), load);
+            fleet.limit = limit;
+            const auto named = fleet.vms[0].now;
+            playLoad(fleet, seconds(24), load);
+            CHECK(static_cast<double>(mostArrivals(fleet, named + seconds(4))) <= 6 * limit + 5);
+            const auto later = std::count_if(fleet.arrivals.begin(), fleet.arrivals.end(), [&](time_point at) { return at >= named + seconds(4); });
+            CHECK(static_cast<double>(later) >= 0.5 * limit * 20);
+            CHECK(fleet.refused == 0);
+            if (vms > 60) // Many VMs hear of the end of the limit only by rare trials.
+                continue;
+            fleet.limit = 0;
+            playLoad(fleet, seconds(30), load);
+            const auto ended = fleet.vms[0].now;
+            playLoad(fleet, seconds(4), load);
+            CHECK(mostArrivals(fleet, ended - seconds(4)) > 6 * limit + 5);
+        }
+    }
+}
--- a/tests/test_limit.cpp
+++ b/tests/test_limit.cpp
@@ -63,7 +63,7 @@
 
 TEST_CASE("a cold endpoint gets at most the allowed number of requests within any second")
 {
-    cold_dispatches dispatches;
+    recent_dispatches dispatches;
     time_point now { seconds(1000) };
     std::vector<time_point> sent;
     for (int i = 0; i < 400; ++i) {
@@ -135,3 +135,31 @@
     CHECK(taken <= static_cast<unsigned>(10 * LogLinesPerSecond) + 1);
     CHECK(taken >= static_cast<unsigned>(10 * LogLinesPerSecond) - 1);
 }
+
+TEST_CASE("limit: the quotas of all VMs add up to the total, whatever their weights, and follow them")
+{
+    rc::prop("for any weights", [] {
+        const auto weights = *rc::gen::nonEmpty(rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 100U)));
+        const auto total = *rc::gen::inRange(0U, 500U);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < weights.size(); ++i)
+            names.push_back("vm" + std::to_string(i));
+        std::vector<quota_holder> holders;
+        double sum = 0;
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            holders.push_back({ names[i], static_cast<double>(weights[i]) });
+            sum += weights[i];
+        }
+        std::uint32_t given = 0;
+        for (const auto& holder : holders) {
+            const auto quota = quotaOf(holders, holder.vm, total, seed);
+            given += quota;
+            RC_ASSERT(std::abs(quota - total * holder.weight / std::max(1.0, sum)) < 1.001);
+        }
+        RC_ASSERT(given <= total + 1);
+        RC_ASSERT(sum == 0 || given + 1 >= total);
+    });
+    CHECK(quotaOf({ { "vm1", 1 } }, "vm2", 10, 1) == 0);
+    CHECK(quotaOf({}, "vm1", 10, 1) == 0);
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -123,12 +123,18 @@
     response.set("Server-Leaving", "1");
     CHECK(decodeEndpointHeaders(response, 200).report.leaving);
     CHECK(decodeEndpointHeaders(response, 503).report.leaving);
-    for (const auto& [text, expected] : std::vector<std::pair<std::string, int>> { { "2", 2000 }, { "0.25", 250 }, { "0.0001", 1 }, { "-1", 0 }, { "soon", 0 }, { "1s", 0 }, { "nan", 0 }, { "inf", 600'000 }, { "1e300", 600'000 }, { "", 0 } }) {
+    for (const auto& [text, expected] : std::vector<std::pair<std::string, int>> { { "2", 2000 }, { "0.25", 250 }, { "0.0001", 1 }, { "-1", 0 }, { "soon", 0 }, { "1s", 0 }, { "nan", 0 }, { "inf", 0 }, { "1e300", 600'000 }, { "", 0 } }) {
         CAPTURE(text);
         response.set(http::field::retry_after, text);
         CHECK(decodeEndpointHeaders(response, 503).report.pause == milliseconds(expected));
         CHECK(decodeEndpointHeaders(response, 200).report.pause == milliseconds(0));
     }
+    CHECK_FALSE(decodeEndpointHeaders(response, 200).report.requestsPerSecond);
+    for (const auto& [text, expected] : std::vector<std::pair<std::string, std::optional<double>>> { { "4.8", 4.8 }, { "12", 12.0 }, { "0", 0.0 }, { "-1", std::nullopt }, { "many", std::nullopt }, { "nan", std::nullopt }, { "3/s", std::nullopt }, { "", std::nullopt } }) {
+        CAPTURE(text);
+        response.set("Server-Limit", text);
+        CHECK(decodeEndpointHeaders(response, 200).report.requestsPerSecond == expected);
+    }
     response.set("Server-Leaving", "0");
     CHECK_FALSE(decodeEndpointHeaders(response, 200).report.leaving);
     http::fields own;
