Fix: What a VM says of an older start of an endpoint no longer replaces what the newer one has said

A caller could be sent to an endpoint that had said that it leaves.

Cause: an endpoint may restart under its id, and VMs hear of that at different times. A VM that still has the older registration records responses under the older start and tells them to others; the table has one state an id, so the younger message replaced the leaving, pause or limit of the newer start, and the next request was placed as if nothing had been said. The class is knowledge held without order of its incarnations, the same as with registrations that return.

Change: starts are ordered by their time. Reports of an older start are ignored, those of a newer one always replace, however old; and what a newer start has said holds also where the older registration is still in force, since the address belongs to the newer one.

Evidence: the new test of test_self_report.cpp fails on the old code in three checks (leaving and limit are gone) and passes now. A start whose time lies before the one known counts as older: it then keeps what the other said until that state is evicted.

--- a/src/self_report/self_report.cpp
+++ b/src/self_report/self_report.cpp
@@ -28,11 +28,22 @@
 /** and each VM at most one in this time. */
 static constexpr milliseconds MinTrialInterval { 10'000 };
 
-/** The state of this start of the endpoint; null when it has reported nothing. */
-static const self_report_state* findState(const self_report_table& table, const std::string& id, std::int64_t startUnixMs)
+/** The state that holds for a registration of the endpoint: of this start, or of a newer one that is not registered here yet; null for none.
+ *  @p table may be const. */
+template <typename Table>
+static auto findState(Table& table, const std::string& id, std::int64_t startUnixMs) -> decltype(&table.find(id)->second)
 {
     const auto found = table.find(id);
-    return found != table.end() && found->second.startUnixMs == startUnixMs ? &found->second : nullptr;
+    return found != table.end() && found->second.startUnixMs >= startUnixMs ? &found->second : nullptr;
+}
+
+/** Makes the state one of this start, empty if it was of an older one. Precondition: @p startUnixMs is not older than the state's. */
+static void beginStart(self_report_state& state, std::int64_t startUnixMs)
+{
+    if (state.startUnixMs == startUnixMs)
+        return;
+    state = {};
+    state.startUnixMs = startUnixMs;
 }
 
 /** Drops the state with the oldest report if there are too many. */
@@ -72,15 +83,12 @@
 
 self_report_change recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now)
 {
-    const bool known = findState(table, id, startUnixMs) != nullptr;
+    const auto* known = findState(table, id, startUnixMs);
     const bool saysNothing = !report.leaving && report.pause.count() <= 0 && !report.requestsPerSecond;
-    if (!known && saysNothing)
+    if (known ? known->startUnixMs != startUnixMs : saysNothing) // A newer start is known, or there is nothing to keep.
         return {};
     auto& state = table[id];
-    if (!known) {
-        state = {};
-        state.startUnixMs = startUnixMs;
-    }
+    beginStart(state, startUnixMs);
     auto change = applyShared(state, report.leaving, report.requestsPerSecond, now);
     change.paused = report.pause.count() > 0 && now + report.pause > state.pausedUntil;
     if (change.paused)
@@ -92,16 +100,14 @@
 self_report_change recordToldReport(self_report_table& table, const told_report& told, time_point now)
 {
     const auto reportedAt = now - told.age;
-    const auto found = table.find(told.id);
-    const bool newerKnown = found != table.end() && found->second.reportedAt >= reportedAt;
-    const bool sameStart = found != table.end() && found->second.startUnixMs == told.startUnixMs;
-    if (newerKnown && !(sameStart && told.leaving)) // Leaving is final, however old the report.
+    const auto* known = findState(table, told.id, told.startUnixMs);
+    const bool newerKnown = known && known->reportedAt >= reportedAt;
+    if (known && known->startUnixMs != told.startUnixMs)
+        return {};
+    if (newerKnown && !told.leaving) // Leaving is final, however old the report.
         return {};
     auto& state = table[told.id];
-    if (!sameStart) {
-        state = {};
-        state.startUnixMs = told.startUnixMs;
-    }
+    beginStart(state, told.startUnixMs);
     const auto change = applyShared(state, told.leaving, newerKnown ? state.requestsPerSecond : told.requestsPerSecond, std::max(state.reportedAt, reportedAt));
     dropOldest(table);
     return change;
@@ -162,9 +168,8 @@
 
 self_report_state* limitedState(self_report_table& table, const std::string& id, std::int64_t startUnixMs)
 {
-    const auto found = table.find(id);
-    const bool limited = found != table.end() && found->second.startUnixMs == startUnixMs && found->second.requestsPerSecond;
-    return limited ? &found->second : nullptr;
+    auto* state = findState(table, id, startUnixMs);
+    return state && state->requestsPerSecond ? state : nullptr;
 }
 
 std::uint32_t requestsPerLimitWindow(double requestsPerSecond)
--- a/src/self_report/self_report_func.h
+++ b/src/self_report/self_report_func.h
@@ -7,14 +7,14 @@
 namespace lhub {
 
 /**
- * Records a report. A report about another start than the one that is known replaces the state. Drops the states with the oldest reports
- * when there are too many. Not thread safe.
+ * Records a report. One about a newer start than is known replaces the state; one about an older start is ignored. Drops the states with
+ * the oldest reports when there are too many. Not thread safe.
  * @param startUnixMs the start of the endpoint that the request was sent to.
  * @return what the endpoint had not said before.
  */
 self_report_change recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now);
 
-/** Records what another VM has told, unless a newer report of the endpoint is known. Not thread safe. @return what was not known before. */
+/** Records what another VM has told, unless a newer report or a newer start of the endpoint is known. Not thread safe. @return what was not known before. */
 self_report_change recordToldReport(self_report_table& table, const told_report& told, time_point now);
 
 /** What to tell other VMs in this round of gossip: a bounded number of the changes that have been told least often. Not thread safe: counts the round. */
@@ -25,7 +25,12 @@
 /** Decodes a message; no reports if any part of it is malformed. Thread safe. */
 std::vector<told_report> decodeToldReports(std::string_view message);
 
-/** Until when this start of the endpoint wants no requests of this VM; the epoch when it has not said so. Thread safe on a const object. */
+/*
+ * The functions below take the start that is registered here. After a restart under the same id, the endpoint at the registered address may
+ * be newer than that: reports of a newer start hold, too.
+ */
+
+/** Until when the endpoint wants no requests of this VM; the epoch when it has not said so. Thread safe on a const object. */
 time_point pausedUntil(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
 /** Time over which the requests of a limit are counted; a longer one allows a VM with little traffic to send its few requests together. */
@@ -34,7 +39,7 @@
 /** Requests that all VMs together may send to an endpoint within LimitWindow; at least 1, so that reports go on to arrive. Thread safe. */
 std::uint32_t requestsPerLimitWindow(double requestsPerSecond);
 
-/** The state of this start of the endpoint if it has a limit in force; null otherwise. Valid until the table changes. Not thread safe. */
+/** The state of the endpoint if it has a limit in force; null otherwise. Valid until the table changes. Not thread safe. */
 self_report_state* limitedState(self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
 /**
@@ -47,7 +52,7 @@
 /** Counts a request that is sent to an endpoint with a limit. Not thread safe. */
 void recordDispatch(self_report_state& state, time_point now);
 
-/** Whether this start of the endpoint has reported that it leaves. Thread safe on a const object. */
+/** Whether the endpoint has reported that it leaves. Thread safe on a const object. */
 bool hasReportedLeaving(const self_report_table& table, const std::string& id, std::int64_t startUnixMs);
 
 } // namespace lhub
--- a/src/self_report/self_report_type.h
+++ b/src/self_report/self_report_type.h
@@ -16,7 +16,7 @@
     std::optional<double> requestsPerSecond; ///< Requests that it takes from all VMs together; empty for no limit.
 };
 
-/** What is known from the reports of one start of an endpoint. */
+/** What is known from the reports of the newest start of an endpoint that has made any. */
 struct self_report_state {
     std::int64_t startUnixMs = 0; ///< The start that the reports are about, as in endpoint_registration.
     time_point reportedAt {}; ///< When the endpoint made the newest report, to this VM or to another one.
--- a/tests/test_self_report.cpp
+++ b/tests/test_self_report.cpp
@@ -51,6 +51,24 @@
     CHECK(hasReportedLeaving(table, "e1", 7));
 }
 
+TEST_CASE("self report: reports of an older start never replace those of a newer one, which hold for an older registration too")
+{
+    self_report_table table;
+    recordSelfReport(table, "e1", 7, { true, seconds(60), 4.8 }, Now);
+    recordToldReport(table, { "e1", 6, false, std::nullopt, milliseconds(0) }, Now + seconds(1)); // By a VM that does not know of the restart.
+    CHECK(hasReportedLeaving(table, "e1", 7));
+    recordSelfReport(table, "e1", 6, { false, milliseconds(0), 9.0 }, Now + seconds(2)); // A late response.
+    CHECK(hasReportedLeaving(table, "e1", 7));
+    REQUIRE(limitedState(table, "e1", 7));
+    CHECK(limitedState(table, "e1", 7)->requestsPerSecond == 4.8);
+    CHECK(hasReportedLeaving(table, "e1", 6));
+    CHECK(pausedUntil(table, "e1", 6) == Now + seconds(60));
+    recordToldReport(table, { "e1", 8, false, 3.0, seconds(9) }, Now + seconds(3)); // Older than the report known, but of a newer start.
+    CHECK_FALSE(hasReportedLeaving(table, "e1", 8));
+    REQUIRE(limitedState(table, "e1", 8));
+    CHECK(limitedState(table, "e1", 8)->requestsPerSecond == 3.0);
+}
+
 TEST_CASE("self report: messages, and what is kept, are bounded")
 {
     self_report_table table;
