Codechange: Updates about endpoints between VMs, in the usual terms; constants of the requests that test a limit explained one by one

Cause: names such as told_report and roundsToTell, and comments that went on from one constant to the next, read like speech.

--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -163,8 +163,8 @@
         onRequestReceived(gate, now, *request, effects);
     else if (const auto* attempt = std::get_if<attempt_ended>(&event))
         onAttemptEnded(gate, now, *attempt, effects);
-    else if (const auto* told = std::get_if<reports_told>(&event))
-        onReportsTold(gate, now, *told, effects);
+    else if (const auto* updates = std::get_if<report_updates_received>(&event))
+        onReportUpdates(gate, now, *updates, effects);
     else if (const auto* caller = std::get_if<caller_gone>(&event))
         onCallerGone(gate, caller->request, effects);
     else if (const auto* woken = std::get_if<request_timer_expired>(&event))
--- a/src/gate/gate_endpoint.cpp
+++ b/src/gate/gate_endpoint.cpp
@@ -86,14 +86,14 @@
 void recordReport(gate_state& gate, const attempt_state& attempt, const self_report& report, time_point now, gate_effects& effects)
 {
     const auto change = recordSelfReport(gate.selfReports, attempt.endpoint, attempt.endpointStartUnixMs, report, now);
-    logReport(attempt.endpoint, attempt.endpointStartUnixMs, report, change, "its response says so", effects);
+    logReport(attempt.endpoint, attempt.endpointStartUnixMs, report, change, "reported in its response", effects);
 }
 
-void onReportsTold(gate_state& gate, time_point now, const reports_told& event, gate_effects& effects)
+void onReportUpdates(gate_state& gate, time_point now, const report_updates_received& event, gate_effects& effects)
 {
-    for (const auto& told : event.reports) {
-        const auto change = recordToldReport(gate.selfReports, told, now);
-        logReport(told.id, told.startUnixMs, { told.leaving, milliseconds(0), told.requestsPerSecond }, change, "another VM says so", effects);
+    for (const auto& update : event.updates) {
+        const auto change = applyReportUpdate(gate.selfReports, update, now);
+        logReport(update.id, update.startUnixMs, { update.leaving, milliseconds(0), update.requestsPerSecond }, change, "reported by another VM", effects);
     }
 }
 
--- a/src/gate/gate_event.h
+++ b/src/gate/gate_event.h
@@ -60,9 +60,9 @@
     std::string reason; ///< Explanation for the log.
 };
 
-/** Another VM told what endpoints have said about themselves. */
-struct reports_told {
-    std::vector<told_report> reports; ///< As received.
+/** Another VM sent updates about what endpoints have said about themselves. */
+struct report_updates_received {
+    std::vector<report_update> updates; ///< As received.
 };
 
 /** The caller closed its connection. */
@@ -80,7 +80,7 @@
 };
 
 using gate_event = std::variant<config_received, endpoint_updated, endpoint_removed, endpoints_listed, evacuations_updated,
-    request_received, attempt_ended, reports_told, caller_gone, request_timer_expired, stop_requested>;
+    request_received, attempt_ended, report_updates_received, caller_gone, request_timer_expired, stop_requested>;
 
 /** Send the request to an endpoint. */
 struct send_attempt {
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -19,7 +19,7 @@
 /** Whether the endpoint is about to end, by its registration or by its own responses, and must not get new requests. */
 bool isLeaving(const gate_state& gate, const endpoint_state& endpoint);
 
-/** Whether the endpoint has told this VM to send nothing until later than @p now. */
+/** Whether the endpoint has asked this VM for a pause that lasts beyond @p now. */
 bool isPaused(const gate_state& gate, const endpoint_state& endpoint, time_point now);
 
 /** The part of this VM in the requests that an endpoint with a limit takes from all VMs within LimitWindow; 0 until the membership view has
@@ -83,7 +83,7 @@
 /** Records a health signal against the endpoints of overdue attempts, once for each attempt. */
 void recordOverdueAttempts(gate_state& gate, gate_request& request, time_point now, gate_effects& effects);
 
-void onReportsTold(gate_state& gate, time_point now, const reports_told& event, gate_effects& effects);
+void onReportUpdates(gate_state& gate, time_point now, const report_updates_received& event, gate_effects& effects);
 void onRequestReceived(gate_state& gate, time_point now, const request_received& event, gate_effects& effects);
 void onAttemptEnded(gate_state& gate, time_point now, const attempt_ended& event, gate_effects& effects);
 void onRequestTimer(gate_state& gate, time_point now, std::uint64_t id, gate_effects& effects);
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -136,7 +136,7 @@
     return mayRetryWithin(gate.retryCounts[request.service], gate.self.retryBounds, 2 * vms, now);
 }
 
-/** Expected wait of a request that no endpoint may get now: until the first of them that has told this VM to send nothing takes requests again. */
+/** Expected wait of a request that no endpoint may get now: until the first pause that an endpoint has asked for ends. */
 static double waitForUsableMs(const gate_state& gate, const candidate_list& list, time_point now)
 {
     double waitMs = std::numeric_limits<double>::max();
--- a/src/self_report/self_report.cpp
+++ b/src/self_report/self_report.cpp
@@ -10,26 +10,25 @@
 
 /** Most states kept; those of endpoints that have ended are not removed otherwise. */
 static constexpr std::size_t MaxSelfReports = 4096;
-/** Rounds of gossip in which a VM passes a change on; each VM that learns of it does the same, so that it reaches all within some rounds. */
-static constexpr unsigned ToldRounds = 2;
-/** Most reports in one message, about 60 bytes each. */
-static constexpr std::size_t MaxToldReports = 8;
+/** Rounds of gossip in which a VM sends an update; each VM that learns from it does the same, so that it reaches all within some rounds. */
+static constexpr unsigned UpdateRounds = 2;
+/** Most updates in one message, about 60 bytes each. */
+static constexpr std::size_t MaxUpdatesPerMessage = 8;
 /** Bounds on the values of a received message. */
-static constexpr milliseconds MaxToldAge { std::chrono::hours(24) };
+static constexpr milliseconds MaxUpdateAge { std::chrono::hours(24) };
 static constexpr double MaxLimit = 1e9;
-/** Relative change of a limit that is logged and told to other VMs. */
+/** Relative change of a limit that is logged and sent to other VMs. */
 static constexpr double NotableLimitChange = 0.1;
 /** Bound on the requests of one limit window; beyond it a limit limits nothing. */
 static constexpr double MaxWindowRequests = 1e6;
-/** Requests with which VMs without a quota ask whether a limit is still in force: this part of the limit, all VMs together, */
+/** Part of a limit that the VMs without a quota, all together, may use for requests that show whether the limit is still in force. */
 static constexpr double TrialPart = 0.2;
-/** but at least this many a second, */
+/** Lower bound on these requests a second, all VMs together. */
 static constexpr double MinTrialRate = 0.1;
-/** and each VM at most one in this time. */
+/** Lower bound on the time between two of these requests of one VM. */
 static constexpr milliseconds MinTrialInterval { 10'000 };
 
-/** The state that holds for a registration of the endpoint: of this start, or of a newer one that is not registered here yet; null for none.
- *  @p table may be const. */
+/** The state that holds for a registration of the endpoint: of this start, or of a newer one that is not registered here yet; null for none. */
 template <typename Table>
 static auto findState(Table& table, const std::string& id, std::int64_t startUnixMs) -> decltype(&table.find(id)->second)
 {
@@ -62,7 +61,7 @@
     return limit && std::abs(*limit - *announced) > NotableLimitChange * *announced;
 }
 
-/** Applies what holds for all VMs, and has it told to others where it is new. @return what was not known before. */
+/** Applies what holds for all VMs, and schedules it to be sent to others where it is new. @return what was not known before. */
 static self_report_change applyShared(self_report_state& state, bool leaving, const std::optional<double>& requestsPerSecond, time_point reportedAt)
 {
     self_report_change change;
@@ -75,7 +74,7 @@
     if (change.limit)
         state.announcedLimit = requestsPerSecond;
     if (change.leaving || change.limit)
-        state.roundsToTell = ToldRounds;
+        state.roundsToSend = UpdateRounds;
     return change;
 }
 
@@ -95,62 +94,62 @@
     return change;
 }
 
-self_report_change recordToldReport(self_report_table& table, const told_report& told, time_point now)
+self_report_change applyReportUpdate(self_report_table& table, const report_update& update, time_point now)
 {
-    const auto reportedAt = now - told.age;
-    const auto* known = findState(table, told.id, told.startUnixMs);
+    const auto reportedAt = now - update.age;
+    const auto* known = findState(table, update.id, update.startUnixMs);
     const bool newerKnown = known && known->reportedAt >= reportedAt;
-    if (known && known->startUnixMs != told.startUnixMs)
+    if (known && known->startUnixMs != update.startUnixMs)
         return {};
-    if (newerKnown && !told.leaving) // Leaving is final, however old the report.
+    if (newerKnown && !update.leaving) // Leaving is final, however old the report.
         return {};
-    auto& state = table[told.id];
-    beginStart(state, told.startUnixMs);
-    const auto change = applyShared(state, told.leaving, newerKnown ? state.requestsPerSecond : told.requestsPerSecond, std::max(state.reportedAt, reportedAt));
+    auto& state = table[update.id];
+    beginStart(state, update.startUnixMs);
+    const auto change = applyShared(state, update.leaving, newerKnown ? state.requestsPerSecond : update.requestsPerSecond, std::max(state.reportedAt, reportedAt));
     dropOldest(table);
     return change;
 }
 
-std::vector<told_report> nextToldReports(self_report_table& table, time_point now)
+std::vector<report_update> nextReportUpdates(self_report_table& table, time_point now)
 {
     std::vector<std::pair<const std::string, self_report_state>*> due;
     for (auto& item : table) {
-        if (item.second.roundsToTell > 0)
+        if (item.second.roundsToSend > 0)
             due.push_back(&item);
     }
-    std::stable_sort(due.begin(), due.end(), [](const auto* a, const auto* b) { return a->second.roundsToTell > b->second.roundsToTell; });
-    due.resize(std::min(due.size(), MaxToldReports));
-    std::vector<told_report> reports;
+    std::stable_sort(due.begin(), due.end(), [](const auto* a, const auto* b) { return a->second.roundsToSend > b->second.roundsToSend; });
+    due.resize(std::min(due.size(), MaxUpdatesPerMessage));
+    std::vector<report_update> updates;
     for (auto* item : due) {
-        --item->second.roundsToTell;
+        --item->second.roundsToSend;
         const auto age = std::chrono::duration_cast<milliseconds>(now - item->second.reportedAt);
-        reports.push_back({ item->first, item->second.startUnixMs, item->second.leavingSince != time_point {}, item->second.requestsPerSecond, age });
+        updates.push_back({ item->first, item->second.startUnixMs, item->second.leavingSince != time_point {}, item->second.requestsPerSecond, age });
     }
-    return reports;
+    return updates;
 }
 
-std::string encodeToldReports(const std::vector<told_report>& reports)
+std::string encodeReportUpdates(const std::vector<report_update>& updates)
 {
     json::array rows;
-    for (const auto& report : reports)
-        rows.push_back(json::array { report.id, report.startUnixMs, report.leaving, report.requestsPerSecond ? json::value(*report.requestsPerSecond) : json::value(), report.age.count() });
+    for (const auto& update : updates)
+        rows.push_back(json::array { update.id, update.startUnixMs, update.leaving, update.requestsPerSecond ? json::value(*update.requestsPerSecond) : json::value(), update.age.count() });
     return json::serialize(json::object { { "self_reports", std::move(rows) } });
 }
 
-std::vector<told_report> decodeToldReports(std::string_view message)
+std::vector<report_update> decodeReportUpdates(std::string_view message)
 {
     const auto parsed = parseJson(message);
     if (!parsed)
         return {};
-    std::vector<told_report> result;
+    std::vector<report_update> result;
     try {
         for (const auto& row : parsed->as_object().at("self_reports").as_array()) {
             const auto& cells = row.as_array();
-            const auto age = milliseconds(std::clamp<std::int64_t>(cells.at(4).to_number<std::int64_t>(), 0, MaxToldAge.count()));
-            told_report report { std::string(cells.at(0).as_string()), cells.at(1).to_number<std::int64_t>(), cells.at(2).as_bool(), std::nullopt, age };
+            const auto age = milliseconds(std::clamp<std::int64_t>(cells.at(4).to_number<std::int64_t>(), 0, MaxUpdateAge.count()));
+            report_update update { std::string(cells.at(0).as_string()), cells.at(1).to_number<std::int64_t>(), cells.at(2).as_bool(), std::nullopt, age };
             if (!cells.at(3).is_null())
-                report.requestsPerSecond = std::clamp(cells.at(3).to_number<double>(), 0.0, MaxLimit);
-            result.push_back(std::move(report));
+                update.requestsPerSecond = std::clamp(cells.at(3).to_number<double>(), 0.0, MaxLimit);
+            result.push_back(std::move(update));
         }
     } catch (const std::exception&) { // Malformed, as the empty result says.
         return {};
--- a/src/self_report/self_report_func.h
+++ b/src/self_report/self_report_func.h
@@ -14,16 +14,16 @@
  */
 self_report_change recordSelfReport(self_report_table& table, const std::string& id, std::int64_t startUnixMs, const self_report& report, time_point now);
 
-/** Records what another VM has told, unless a newer report or a newer start of the endpoint is known. Not thread safe. @return what was not known before. */
-self_report_change recordToldReport(self_report_table& table, const told_report& told, time_point now);
+/** Applies an update from another VM, unless a newer report or a newer start of the endpoint is known. Not thread safe. @return what was not known before. */
+self_report_change applyReportUpdate(self_report_table& table, const report_update& update, time_point now);
 
-/** What to tell other VMs in this round of gossip: a bounded number of the changes that have been told least often. Not thread safe: counts the round. */
-std::vector<told_report> nextToldReports(self_report_table& table, time_point now);
+/** The updates to send in this round of gossip: a bounded number of those that have been sent least often. Not thread safe: counts the round. */
+std::vector<report_update> nextReportUpdates(self_report_table& table, time_point now);
 
 /** Encodes a message for other VMs; differs in its first character from the messages of gossip_func.h. Thread safe. */
-std::string encodeToldReports(const std::vector<told_report>& reports);
-/** Decodes a message; no reports if any part of it is malformed. Thread safe. */
-std::vector<told_report> decodeToldReports(std::string_view message);
+std::string encodeReportUpdates(const std::vector<report_update>& updates);
+/** Decodes a message; no updates if any part of it is malformed. Thread safe. */
+std::vector<report_update> decodeReportUpdates(std::string_view message);
 
 /*
  * The functions below take the start that is registered here. After a restart under the same id, the endpoint at the registered address may
--- a/src/self_report/self_report_type.h
+++ b/src/self_report/self_report_type.h
@@ -25,8 +25,8 @@
     std::optional<double> requestsPerSecond; ///< Limit on the requests of all VMs in its newest report; empty for none.
     recent_dispatches dispatches; ///< Requests that this VM sent since it knows of a limit.
     time_point lastDispatchAt {}; ///< The newest of them; the epoch before the first.
-    std::optional<double> announcedLimit; ///< requestsPerSecond when it was last logged and told to other VMs.
-    unsigned roundsToTell = 0; ///< Rounds of gossip in which it is still to be told to other VMs.
+    std::optional<double> announcedLimit; ///< requestsPerSecond when it was last logged and sent to other VMs.
+    unsigned roundsToSend = 0; ///< Rounds of gossip in which it is still to be sent to other VMs.
 };
 
 /** What a report changed. */
@@ -36,8 +36,8 @@
     bool limit = false; ///< Its limit is new, has another value, or is gone.
 };
 
-/** What a VM tells others of an endpoint's reports. A pause is left out, since it concerns one VM only. */
-struct told_report {
+/** Message from one VM to another about an endpoint's reports. A pause is left out, since it concerns one VM only. */
+struct report_update {
     std::string id; ///< Identity of the endpoint.
     std::int64_t startUnixMs = 0; ///< The start of the endpoint that it is about.
     bool leaving = false; ///< The endpoint is about to end.
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -99,7 +99,7 @@
     }
 }
 
-/** Receives claims and what other VMs tell of endpoints, merges them, and replies to VMs that join. */
+/** Receives claims and updates about endpoints, merges them, and replies to VMs that join. */
 static asio::awaitable<void> receiveClaims(gate_shell& shell, std::shared_ptr<udp::socket> socket)
 {
     std::string buffer(MaxDatagramBytes, '\0');
@@ -112,8 +112,8 @@
             continue;
         ++shell.counters.gossipReceived;
         const auto message = std::string_view(buffer).substr(0, size);
-        if (auto told = decodeToldReports(message); !told.empty()) {
-            processEvent(shell, reports_told { std::move(told) });
+        if (auto updates = decodeReportUpdates(message); !updates.empty()) {
+            processEvent(shell, report_updates_received { std::move(updates) });
             continue;
         }
         const auto claims = decodeMemberRecords(message);
@@ -140,8 +140,8 @@
         }
         sendTo(shell, *socket, targets.sameRegion, encodeMemberRecords(messages.sameRegion));
         sendTo(shell, *socket, targets.otherRegions, encodeMemberRecords(messages.otherRegions));
-        if (const auto told = nextToldReports(shell.state.selfReports, now); !told.empty()) {
-            const auto message = encodeToldReports(told);
+        if (const auto updates = nextReportUpdates(shell.state.selfReports, now); !updates.empty()) {
+            const auto message = encodeReportUpdates(updates);
             sendTo(shell, *socket, targets.sameRegion, message);
             sendTo(shell, *socket, targets.otherRegions, message);
         }
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -829,13 +829,13 @@
     }
 }
 
-/** One round of gossip: each VM tells three others what endpoints have said. */
+/** One round of gossip: each VM sends three others its updates. */
 static void exchangeReports(fleet_rig& fleet)
 {
     for (std::size_t i = 0; i < fleet.vms.size(); ++i) {
-        const auto told = nextToldReports(fleet.vms[i].gate.selfReports, fleet.vms[i].now);
-        for (unsigned target = 0; !told.empty() && target < 3; ++target)
-            feed(fleet.vms[stableHash(std::to_string(fleet.requests + target), i) % fleet.vms.size()], reports_told { decodeToldReports(encodeToldReports(told)) });
+        const auto updates = nextReportUpdates(fleet.vms[i].gate.selfReports, fleet.vms[i].now);
+        for (unsigned target = 0; !updates.empty() && target < 3; ++target)
+            feed(fleet.vms[stableHash(std::to_string(fleet.requests + target), i) % fleet.vms.size()], report_updates_received { decodeReportUpdates(encodeReportUpdates(updates)) });
     }
 }
 
