Fix: An endpoint whose leaving is older than the clock of the VM that hears of it gets no request any more

A caller could be sent to an endpoint that another VM had reported as leaving. Found by reading; no play has shown it.

Cause: the time of the report doubled as the flag, with the epoch for 'not leaving'. An update carries its age; on a machine that started less than that age ago, the time lies before the epoch of the steady clock, is clamped to it, and says 'not leaving'.

Change: the flag is a member of its own, and the time, which nothing else used, is gone.

Evidence: the new test of test_self_report.cpp fails on the old code (hasReportedLeaving is false) and passes now.

--- a/src/self_report/self_report.cpp
+++ b/src/self_report/self_report.cpp
@@ -65,9 +65,8 @@
 static self_report_change applyShared(self_report_state& state, bool leaving, const std::optional<double>& requestsPerSecond, time_point reportedAt)
 {
     self_report_change change;
-    change.leaving = leaving && state.leavingSince == time_point {};
-    if (change.leaving)
-        state.leavingSince = reportedAt;
+    change.leaving = leaving && !state.leaving;
+    state.leaving = state.leaving || leaving;
     state.requestsPerSecond = requestsPerSecond;
     state.reportedAt = reportedAt;
     change.limit = isNotableChange(requestsPerSecond, state.announcedLimit);
@@ -123,7 +122,7 @@
     for (auto* item : due) {
         --item->second.roundsToSend;
         const auto age = std::chrono::duration_cast<milliseconds>(now - item->second.reportedAt);
-        updates.push_back({ item->first, item->second.startUnixMs, item->second.leavingSince != time_point {}, item->second.requestsPerSecond, age });
+        updates.push_back({ item->first, item->second.startUnixMs, item->second.leaving, item->second.requestsPerSecond, age });
     }
     return updates;
 }
@@ -193,7 +192,7 @@
 bool hasReportedLeaving(const self_report_table& table, const std::string& id, std::int64_t startUnixMs)
 {
     const auto* state = findState(table, id, startUnixMs);
-    return state && state->leavingSince != time_point {};
+    return state && state->leaving;
 }
 
 } // namespace lhub
--- a/src/self_report/self_report_type.h
+++ b/src/self_report/self_report_type.h
@@ -20,7 +20,7 @@
 struct self_report_state {
     std::int64_t startUnixMs = 0; ///< The start that the reports are about, as in endpoint_registration.
     time_point reportedAt {}; ///< When the endpoint made the newest report, to this VM or to another one.
-    time_point leavingSince {}; ///< When it was first known to leave; the epoch while it is not. It stays set until the endpoint starts again.
+    bool leaving = false; ///< It leaves; final for this start.
     time_point pausedUntil {}; ///< It wants no requests of this VM before this; the epoch when it never said so.
     std::optional<double> requestsPerSecond; ///< Limit on the requests of all VMs in its newest report; empty for none.
     recent_dispatches dispatches; ///< Requests that this VM sent since it knows of a limit.
--- a/tests/test_self_report.cpp
+++ b/tests/test_self_report.cpp
@@ -69,6 +69,13 @@
     CHECK(limitedState(table, "e1", 8)->requestsPerSecond == 3.0);
 }
 
+TEST_CASE("self report: a leaving reported before the start of this machine's clock counts")
+{
+    self_report_table table;
+    applyReportUpdate(table, { "e1", 7, true, std::nullopt, seconds(60) }, time_point(seconds(2)));
+    CHECK(hasReportedLeaving(table, "e1", 7));
+}
+
 TEST_CASE("self report: messages, and what is kept, are bounded")
 {
     self_report_table table;
