--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -709,17 +709,32 @@
     CHECK(runCount(*rig, "next") == 1);
 }
 
+/** Starts the gates vm2 to vmN, with the gate of the rig as their seed. */
+static std::vector<std::unique_ptr<gate_shell>> startOtherGates(serve_rig& rig, int last)
+{
+    std::vector<std::unique_ptr<gate_shell>> gates;
+    for (int i = 2; i <= last; ++i) {
+        auto settings = settingsAt(rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
+        settings.seeds = { "127.0.0.1:" + std::to_string(rig.peerPort) };
+        gates.push_back(startGate(rig, settings));
+    }
+    return gates;
+}
+
+/** The gate of the rig and the others. */
+static std::vector<gate_shell*> allGates(serve_rig& rig, const std::vector<std::unique_ptr<gate_shell>>& others)
+{
+    std::vector<gate_shell*> gates { rig.gate.get() };
+    for (const auto& gate : others)
+        gates.push_back(gate.get());
+    return gates;
+}
+
 TEST_CASE("serve: in a large region some VMs follow others instead of watching the store, and watch it when these do not respond")
 {
     auto rig = makeRig(1);
-    std::vector<std::unique_ptr<gate_shell>> others;
-    std::vector<gate_shell*> gates { rig->gate.get() };
-    for (int i = 2; i <= 6; ++i) {
-        auto settings = settingsAt(*rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
-        settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
-        others.push_back(startGate(*rig, settings));
-        gates.push_back(others.back().get());
-    }
+    const auto others = startOtherGates(*rig, 6);
+    const auto gates = allGates(*rig, others);
     const auto watching = [&] { return std::count_if(gates.begin(), gates.end(), [](const auto* gate) { return gate->watchesStore; }); };
     runUntil(*rig, [&] { return watching() == 3; });
     for (const auto& gate : others)
@@ -740,14 +755,8 @@
 TEST_CASE("serve: while the store answers no VM, only a few VMs keep calling it, and all VMs learn of its recovery")
 {
     auto rig = makeRig(2);
-    std::vector<std::unique_ptr<gate_shell>> others;
-    std::vector<gate_shell*> gates { rig->gate.get() };
-    for (int i = 2; i <= 10; ++i) {
-        auto settings = settingsAt(*rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
-        settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
-        others.push_back(startGate(*rig, settings));
-        gates.push_back(others.back().get());
-    }
+    const auto others = startOtherGates(*rig, 10);
+    const auto gates = allGates(*rig, others);
     const auto watching = [&] { return std::count_if(gates.begin(), gates.end(), [](const auto* gate) { return gate->watchesStore; }); };
     runUntil(*rig, [&] { return watching() == 3; });
     rig->store->faults.down = true;
@@ -772,14 +781,8 @@
 TEST_CASE("serve: a VM that was cut off from the store alone does not delay the removal of endpoints at those that follow it")
 {
     auto rig = makeRig(2);
-    std::vector<std::unique_ptr<gate_shell>> others;
-    std::vector<gate_shell*> gates { rig->gate.get() };
-    for (int i = 2; i <= 6; ++i) {
-        auto settings = settingsAt(*rig, "127.0.0." + std::to_string(i), "vm" + std::to_string(i));
-        settings.seeds = { "127.0.0.1:" + std::to_string(rig->peerPort) };
-        others.push_back(startGate(*rig, settings));
-        gates.push_back(others.back().get());
-    }
+    const auto others = startOtherGates(*rig, 6);
+    const auto gates = allGates(*rig, others);
     const auto followers = [&] { return std::count_if(gates.begin(), gates.end(), [&](const auto* gate) { return !gate->watchesStore && rig->clock.now() - gate->peerAnsweredAt < milliseconds(900); }); };
     runUntil(*rig, [&] { return followers() == 3; });
     std::vector<std::uint64_t> callsBefore;
