Fix: A watch that the store never answers ends so early that changes are in force when the guarantees hold again

Callers saw requests handled by an older configuration (CONFIG) 4 s after the store had been silent: version 5, acknowledged 0.2 s after the silence, was not in force at five of ten VMs 4.3 s after it.

Cause: the bound on the wait of a watch counted from a change that is made once the guarantees hold again. But a change that is made right after the failure, or during it, is due at that moment, whatever the bound of its kind. While the store was known to be lost, new calls asked it to wait as long as ever, and were lost for as long.

Change: planWatch: wait, time for the answer (0.8 s instead of 1.5 s) and 1.2 s for the next call and the way to all VMs fit into the stability time: watches wait 2 s on the small sites, for all kinds. While the store is lost, a watch waits 0.1 s and has 1.2 s for its answer. The bounds by kind, which nothing else used, are gone.

The new test of test_serve.cpp fails on the old code (6,996 ms where 6,000 are allowed) and passes now. The property of test_store_follow.cpp is stricter: it leaves out the bound of the kind. Ruled out: the spread among VMs took 0.85 s of the 4 s, by the logs.

--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -137,7 +137,6 @@
 struct watched_kind {
     std::string keyPrefix; ///< Start of the keys of its objects, "KIND/".
     std::size_t index = 0; ///< Its place in known_revisions and gate_shell::watchedKinds.
-    milliseconds (*applyBound)(const gate_bounds&) = nullptr; ///< Time within which a change of this kind must be in force.
     time_point answeredAt {}; ///< When the store last answered a watch of this kind; the epoch before the first time.
     milliseconds retryPause { 0 }; ///< Pause after the last failed call to the store; 0 after a successful one.
     bool historyGone = false; ///< The store no longer keeps the changes since the last complete state: the next call lists all objects.
--- a/src/serve/serve_watch.cpp
+++ b/src/serve/serve_watch.cpp
@@ -77,7 +77,11 @@
         request.operation = store_operation::Watch;
         request.key = kind->keyPrefix;
         request.since = kind->localCopy.listed && !kind->historyGone ? kind->localCopy.completeRevision : 0;
-        request.wait = request.since == 0 ? milliseconds(0) : watchWaitFor(shell.settings.bounds.stabilityTime, kind->applyBound(shell.settings.bounds), StoreCallTimeout);
+        if (request.since != 0) {
+            const auto times = planWatch(shell.settings.bounds.stabilityTime, shell.storeLostAt != time_point {});
+            request.wait = times.wait;
+            request.timeout = times.answer;
+        }
         const auto calledAt = shell.clock.now();
         const auto reply = co_await callStore(shell, request);
         recordStoreResult(shell, reply);
@@ -184,14 +188,11 @@
 void makeWatchedKinds(gate_shell& shell)
 {
     const auto config = makeWatchedKind(shell, 0, platform::ConfigPrefix);
-    config->applyBound = [](const gate_bounds& bounds) { return bounds.configApply; };
     config->onObject = [&shell](const keyed_object& item) { applyConfig(shell, item); };
     const auto endpoints = makeWatchedKind(shell, 1, platform::EndpointPrefix);
-    endpoints->applyBound = [](const gate_bounds& bounds) { return bounds.drain; };
     endpoints->onObject = [&shell, weak = std::weak_ptr(endpoints)](const keyed_object& item) { applyEndpoint(shell, weak.lock(), item); };
     endpoints->onBatch = [&shell] { processEvent(shell, endpoints_listed {}); };
     const auto evacuations = makeWatchedKind(shell, 2, platform::EvacuationPrefix);
-    evacuations->applyBound = [](const gate_bounds& bounds) { return bounds.evacuate; };
     evacuations->onBatch = [&shell, weak = std::weak_ptr(evacuations)] { applyEvacuations(shell, *weak.lock()); };
 }
 
--- a/src/settings/gate_settings.h
+++ b/src/settings/gate_settings.h
@@ -12,8 +12,6 @@
 /** Bounds that this deployment guarantees to its users; the platform sets them. */
 struct gate_bounds {
     milliseconds drain { 2500 }; ///< Time after which a draining endpoint gets no requests.
-    milliseconds configApply { 2500 }; ///< Time after which a confirmed configuration is in force.
-    milliseconds evacuate { 5000 }; ///< Time after which the endpoints of an evacuated zone get no requests.
     seconds stopGrace { 6 }; ///< Time from SIGTERM to SIGKILL.
     double retryRatio = 0.2; ///< Maximum number of retries per request, on average over all VMs.
     seconds retryWindow { 10 }; ///< Time over which the retry ratio is counted.
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -151,7 +151,7 @@
         const auto httpReply = co_await httpCall(std::move(to), encodeCall(sent), timeout + sent.wait);
         callback(decodeReply(sent, httpReply));
     };
-    asio::co_spawn(executor, sendCall(address, request, callTimeout, std::move(done)), asio::detached);
+    asio::co_spawn(executor, sendCall(address, request, request.timeout.value_or(callTimeout), std::move(done)), asio::detached);
 }
 
 outcome<std::unique_ptr<store_client>> makeHttpStore(
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -24,6 +24,7 @@
     std::uint64_t expectedVersion = 0; ///< For Put and Remove: version that the object must have; 0: it must not exist.
     std::uint64_t since = 0; ///< For Watch: lists what changed after this revision; 0 lists everything.
     milliseconds wait { 0 }; ///< For Watch: longest wait for a change; 0 does not wait.
+    std::optional<milliseconds> timeout = std::nullopt; ///< For Watch: time for the answer in addition to the wait; empty for that of the client.
 };
 
 /** How a call ended. */
--- a/src/store_follow/store_follow.cpp
+++ b/src/store_follow/store_follow.cpp
@@ -9,14 +9,23 @@
 
 static constexpr std::string_view WatcherKey = "watches the store"; ///< Hashed into the rendezvous key of the watchers; must be equal on old and new VMs.
 
-/** Part of the time until a change must be in force that is left for its way from a watcher to all other VMs. */
-static constexpr milliseconds SpreadTime { 2000 };
-/** Lower bound on the wait of a watch; limits the number of calls where the bounds of a deployment are tight. */
+/** Time for the answer of a watch after its wait; a slow store takes some hundred milliseconds. */
+static constexpr milliseconds AnswerTime { 800 };
+/** Time from the end of a watch without an answer until its successor has brought a change and all VMs have it: a pause, a call on a new
+ *  connection to another region, and the way to the followers. */
+static constexpr milliseconds SpreadTime { 1200 };
+/** Lower bound on the wait of a watch; limits the number of calls where the stability time of a deployment is short. */
 static constexpr milliseconds MinWatchWait { 500 };
+/** Wait of a watch while the store is lost; short, since this call may be lost as well. */
+static constexpr milliseconds LostStoreWait { 100 };
+/** Time for the answer of such a watch; longer than AnswerTime, so that a very slow store is found again. */
+static constexpr milliseconds LostStoreAnswerTime { 1200 };
 
-milliseconds watchWaitFor(milliseconds stabilityTime, milliseconds applyBound, milliseconds callTimeout)
+watch_times planWatch(milliseconds stabilityTime, bool storeLost)
 {
-    return std::max(MinWatchWait, stabilityTime + applyBound - SpreadTime - callTimeout);
+    if (storeLost)
+        return { LostStoreWait, LostStoreAnswerTime };
+    return { std::max(MinWatchWait, stabilityTime - SpreadTime - AnswerTime), AnswerTime };
 }
 
 /** Ranks members by a rendezvous hash of @p key, weighted by their capacity; best first. */
--- a/src/store_follow/store_follow_func.h
+++ b/src/store_follow/store_follow_func.h
@@ -16,14 +16,13 @@
 follow_plan planFollow(const member_table& table, const gossip_settings& gossipSettings, const follow_settings& settings, time_point now);
 
 /**
- * How long a watch may wait for a change. A store that fails for a moment may never answer the calls that it received meanwhile, and
- * such a watch looks like one without changes until its time-out. The wait is short enough that a change made once the guarantees
- * hold again is in force everywhere within its bound. Thread safe.
+ * How long a watch may take. A store that fails for a moment may never answer the calls that it received meanwhile, and such a watch
+ * looks like one without changes until its time-out. Changes made during or after the failure must be in force once the guarantees hold
+ * again; both times together are short enough for that. Thread safe.
  * @param stabilityTime time without a disturbance after which the guarantees hold again.
- * @param applyBound time within which a change must be in force.
- * @param callTimeout time-out of a call to the store, not counting the wait.
+ * @param storeLost whether the last call to the store failed.
  */
-milliseconds watchWaitFor(milliseconds stabilityTime, milliseconds applyBound, milliseconds callTimeout);
+watch_times planWatch(milliseconds stabilityTime, bool storeLost);
 
 /**
  * Whether a change that other VMs have has been missing here for at least @p grace. Newer changes do not restart the time, and it
--- a/src/store_follow/store_follow_type.h
+++ b/src/store_follow/store_follow_type.h
@@ -15,6 +15,12 @@
     std::size_t sources = 2; ///< Watchers that each follower follows at the same time.
 };
 
+/** Times of a call that watches the store. */
+struct watch_times {
+    milliseconds wait { 0 }; ///< Longest wait of the store for a change.
+    milliseconds answer { 0 }; ///< Time for the answer in addition to the wait.
+};
+
 /** How a VM receives changes of the store. */
 struct follow_plan {
     bool watchesStore = true; ///< It watches the store itself.
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -507,6 +507,30 @@
     CHECK(rig->gate->state.routes->config.version == 3);
 }
 
+TEST_CASE("serve: a change made right after the store was silent for two watches is in force within the stability time")
+{
+    auto rig = makeRig(2);
+    rig->gate->settings.bounds.stabilityTime = seconds(6);
+    const auto putConfig = [&](int version) {
+        auto config = boost::json::parse(RouteTable);
+        config.as_object()["version"] = version;
+        putObject(*rig->store, "config", "main", config);
+    };
+    putConfig(2);
+    runUntil(*rig, [&] { return rig->gate->state.routes->config.version == 2; });
+    rig->store->faults.swallowsCalls = true;
+    runUntil(*rig, [&] { return rig->gate->watchedKinds[0]->retryPause.count() > 0; }); // The first call without an answer has ended.
+    const auto secondCallAt = rig->clock.now() + rig->gate->watchedKinds[0]->retryPause;
+    runUntil(*rig, [&] { return rig->clock.now() > secondCallAt + milliseconds(100); });
+    rig->store->faults.swallowsCalls = false;
+    const auto recoveredAt = rig->clock.now();
+    putConfig(3);
+    runUntil(*rig, [&] { return rig->gate->state.routes->config.version == 3 || rig->clock.now() - recoveredAt > seconds(20); });
+    CHECK(rig->gate->state.routes->config.version == 3);
+    const milliseconds wayToOthers { 1000 };
+    CHECK(rig->clock.now() - recoveredAt + wayToOthers < rig->gate->settings.bounds.stabilityTime);
+}
+
 TEST_CASE("serve: a VM that the store does not answer gets the objects from another VM, through a seed")
 {
     auto rig = makeRig(2);
--- a/tests/test_store_follow.cpp
+++ b/tests/test_store_follow.cpp
@@ -125,17 +125,17 @@
     CHECK_FALSE(isLagging(noGrace, 5, 0, milliseconds(0), Now));
 }
 
-TEST_CASE("follow: after a watch that was never answered, a change is still in force within its bound once the guarantees hold again")
+TEST_CASE("follow: a change made after a watch that was never answered is in force everywhere when the guarantees hold again")
 {
-    rc::prop("for all bounds of a deployment", [] {
+    rc::prop("for all stability times", [] {
         const milliseconds stability { *rc::gen::inRange(2500, 20'000) };
-        const milliseconds bound { *rc::gen::inRange(2000, 10'000) };
-        const milliseconds callTimeout { *rc::gen::inRange(100, 2000) };
-        const milliseconds spread { 2000 }; // From one watcher to all VMs.
-        const auto wait = watchWaitFor(stability, bound, callTimeout);
-        RC_ASSERT(wait > milliseconds(0));
-        RC_ASSERT(wait + callTimeout + spread <= std::max(stability + bound, milliseconds(500) + callTimeout + spread));
+        const milliseconds spread { 1200 }; // A pause, another call, and the way to all VMs.
+        const auto times = planWatch(stability, false);
+        RC_ASSERT(times.wait > milliseconds(0));
+        RC_ASSERT(times.wait + times.answer + spread <= stability);
     });
-    CHECK(watchWaitFor(seconds(4), milliseconds(2500), milliseconds(1500)) <= seconds(3));
-    CHECK(watchWaitFor(seconds(0), milliseconds(100), milliseconds(1500)) > milliseconds(0));
+    const auto lost = planWatch(seconds(4), true);
+    const milliseconds longestPause { 1000 };
+    CHECK(lost.wait + lost.answer + longestPause + milliseconds(1200) <= seconds(4));
+    CHECK(planWatch(seconds(0), false).wait > milliseconds(0));
 }
