--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -198,6 +198,54 @@
     return request;
 }
 
+/** Answers the first request of a connection with 404, and never another one. */
+static asio::awaitable<void> answerOnce(tcp::socket socket)
+{
+    beast::flat_buffer buffer;
+    http_request request;
+    co_await http::async_read(socket, buffer, request, asio::use_awaitable);
+    auto response = makeResponse(http::status::not_found, "{}");
+    response.keep_alive(true);
+    response.prepare_payload();
+    co_await http::async_write(socket, response, asio::use_awaitable);
+    asio::steady_timer forever(co_await asio::this_coro::executor, time_point::max());
+    co_await forever.async_wait(asio::use_awaitable);
+}
+
+static asio::awaitable<void> acceptAndAnswerOnce(tcp::acceptor& acceptor)
+{
+    while (true) {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(acceptor.get_executor(), answerOnce(std::move(socket)), asio::detached);
+    }
+}
+
+TEST_CASE("platform store: after a connection has gone silent, the next call does not use one that may have, too")
+{
+    asio::io_context context;
+    auto acceptor = std::move(*listenAt(context.get_executor(), "127.0.0.1:0"));
+    asio::co_spawn(context, acceptAndAnswerOnce(acceptor), asio::detached);
+    store_call_counts counts;
+    const auto client = std::move(*makeObjectStore(context.get_executor(), addressText(acceptor.local_endpoint()), milliseconds(300), counts));
+    std::vector<store_result> results;
+    const auto callAtOnce = [&](std::size_t calls) {
+        results.clear();
+        for (std::size_t i = 0; i < calls; ++i) {
+            store_request request;
+            request.key = "things/one";
+            client->call(request, [&](const store_reply& reply) { results.push_back(reply.result); });
+        }
+        while (results.size() < calls)
+            context.run_one();
+    };
+    callAtOnce(2); // Leaves two idle connections.
+    CHECK(results == std::vector { store_result::Missing, store_result::Missing });
+    callAtOnce(1);
+    CHECK(results == std::vector { store_result::Unknown });
+    callAtOnce(1);
+    CHECK(results == std::vector { store_result::Missing });
+}
+
 TEST_CASE("platform store: a list reads all pages, and a watch reports the changes after it")
 {
     store_fixture fixture;
