--- a/src/bench/bench_capacity.cpp
+++ b/src/bench/bench_capacity.cpp
@@ -193,6 +193,7 @@
         reduceGate(gate, now, endpoint_updated { { "i-" + std::to_string(i), "service", "zone-" + std::to_string(i % Regions), "10.1.0.1:80", 3 } }, effects);
     reduceGate(gate, now, endpoints_listed {}, effects);
     std::vector<member_record> members;
+    members.reserve(static_cast<std::size_t>(vms));
     for (int i = 0; i < vms; ++i)
         members.push_back({ "vm" + std::to_string(i), "10.0.0.1", "zone-" + std::to_string(i % Regions), 1, 1, true, true, 10, milliseconds(0), {} });
     mergeMemberRecords(gate.members, members, members.back().vm, now);
