--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -690,7 +690,7 @@
 {
     for (int i = 0;; ++i) {
         sendRequest(rig, target, "object-" + std::to_string(i));
-        const send_attempt sent = *find<send_attempt>(rig);
+        send_attempt sent = *find<send_attempt>(rig);
         if (sent.endpoint == endpoint)
             return sent;
         feed(rig, attemptEnded(sent, dispatch_outcome::Whole, 200));
