--- /dev/null
+++ b/review/standin/cases.h
@@ -0,0 +1,11 @@
+/** @file cases.h The scripted cases. Each returns an exit status of world.h. */
+#pragma once
+
+#include "world.h"
+
+namespace lhub::review {
+
+asio::awaitable<int> playLateRequests(world& world);
+asio::awaitable<int> playForeignEntry(world& world);
+
+} // namespace lhub::review
