--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -7,5 +7,6 @@
 
 asio::awaitable<int> playLateRequests(world& world);
 asio::awaitable<int> playForeignEntry(world& world);
+asio::awaitable<int> playSmuggled(world& world);
 
 } // namespace lhub::review
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -11,6 +11,7 @@
     static const std::map<std::string, asio::awaitable<int> (*)(world&)> Cases {
         { "late-requests", playLateRequests },
         { "foreign-entry", playForeignEntry },
+        { "smuggled", playSmuggled },
     };
     static constexpr std::chrono::seconds Limit { 115 };
     if (argc != 3 || Cases.count(argv[1]) == 0) {
