--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -9,4 +9,7 @@
 asio::awaitable<int> playForeignEntry(world& world);
 asio::awaitable<int> playSmuggled(world& world);
 
+asio::awaitable<int> probePipelinedLeave(world& world);
+asio::awaitable<int> probeChunkedBody(world& world);
+
 } // namespace lhub::review
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -12,6 +12,8 @@
         { "late-requests", playLateRequests },
         { "foreign-entry", playForeignEntry },
         { "smuggled", playSmuggled },
+        { "probe-pipelined-leave", probePipelinedLeave },
+        { "probe-chunked-body", probeChunkedBody },
     };
     static constexpr std::chrono::seconds Limit { 115 };
     if (argc != 3 || Cases.count(argv[1]) == 0) {
