--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -8,6 +8,7 @@
 asio::awaitable<int> playLateRequests(world& world);
 asio::awaitable<int> playForeignEntry(world& world);
 asio::awaitable<int> playSmuggled(world& world);
+asio::awaitable<int> playBehindBrokenAnswer(world& world);
 
 asio::awaitable<int> probePipelinedLeave(world& world);
 asio::awaitable<int> probeChunkedBody(world& world);
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -12,6 +12,7 @@
         { "late-requests", playLateRequests },
         { "foreign-entry", playForeignEntry },
         { "smuggled", playSmuggled },
+        { "behind-broken-answer", playBehindBrokenAnswer },
         { "probe-pipelined-leave", probePipelinedLeave },
         { "probe-chunked-body", probeChunkedBody },
     };
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
+#include <sstream>
 #include <spawn.h>
 #include <sys/wait.h>
 
@@ -81,7 +82,7 @@
 {
     run.end = end;
     run.endedAt = now();
-    const char* const text = end == run_end::Answered ? " answered " : (end == run_end::Dropped ? " dropped, connection closed: " : " broken off by its own end: ");
+    const char* const text = end == run_end::Answered ? " answered " : (end == run_end::Dropped ? " dropped, connection closed: " : " broken off by the upstream itself: ");
     note(world, "upstream " + run.upstream + text + run.id);
 }
 
@@ -116,12 +117,24 @@
             response = makeResponse(http::status::ok, body, "application/octet-stream");
             response.set("X-Server-Stamp", "stamp-" + upstream.entry.id);
             response.set("X-Server-Load", "1,0," + std::to_string(upstream.entry.slots));
-            endRun(world, run, run_end::Answered);
+            if (upstream.cutAfter == 0)
+                endRun(world, run, run_end::Answered);
+            else
+                endRun(world, run, run_end::Broken);
         }
         response.set("X-Request-Id", id);
         response.set(http::field::keep_alive, "timeout=10");
         response.keep_alive(true);
         response.prepare_payload();
+        if (upstream.cutAfter > 0) {
+            std::ostringstream text;
+            text << response;
+            const auto part = text.str().substr(0, upstream.cutAfter);
+            co_await asio::async_write(*socket, asio::buffer(part), token);
+            note(world, "upstream " + upstream.entry.id + " breaks off its answer to " + id + " after " + std::to_string(part.size()) + " bytes");
+            socket->shutdown(tcp::socket::shutdown_send, error);
+            break;
+        }
         co_await http::async_write(*socket, response, token);
     }
     upstream.sockets.erase(socket);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -39,6 +39,7 @@
     endpoint_registration entry; ///< As registered in the store.
     milliseconds work { 50 }; ///< Time that a request takes.
     std::size_t answerBytes = 400;
+    std::size_t cutAfter = 0; ///< Bytes of a response after which it breaks off and the connection is closed; 0 for a sound upstream.
     std::unique_ptr<tcp::acceptor> acceptor;
     std::set<std::shared_ptr<tcp::socket>> sockets; ///< Open connections.
     bool ended = false; ///< The process of the upstream is gone.
