--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -209,6 +209,19 @@
     return success(true);
 }
 
+/** Logs each request that the end of the process cuts off. */
+static void logCutRequests(const gate_shell& shell)
+{
+    for (const auto& [id, exchange] : shell.exchanges) {
+        log_fields fields { { "id", exchange->callerRequestId }, { "after_ms", std::to_string(elapsed(exchange->arrivedAt, shell.clock.now()).count()) } };
+        for (const auto& [attemptId, attempt] : exchange->attempts) {
+            if (!attempt->endReported)
+                fields.emplace_back("endpoint", attempt->command.endpoint);
+        }
+        logEvent("cut_by_stop", fields, shell.clock.now());
+    }
+}
+
 asio::awaitable<void> stopGracefully(gate_shell& shell)
 {
     const auto stopBegan = shell.clock.now();
@@ -227,7 +240,8 @@
         if (!accepting && busyCallers(shell) == 0)
             break;
     }
-    logEvent("stopped", { { "open", std::to_string(shell.exchanges.size()) }, { "busy_callers", std::to_string(busyCallers(shell)) } }, shell.clock.now());
+    logCutRequests(shell);
+    logEvent("stopped", { { "open", std::to_string(shell.exchanges.size()) }, { "busy_callers", std::to_string(busyCallers(shell)) }, { "after_ms", std::to_string(elapsed(stopBegan, shell.clock.now()).count()) } }, shell.clock.now());
     shell.context.stop();
 }
 
