Fix: A VM that stops passes no request on that may outlast the process

Cause: the reducer knew that a stop had begun, but used it only for readiness. First attempts, retries and hedges were sent however little time was left, and the process ended at 0.93 of the grace time with them open. Why this works: with the stop the reducer learns when the last response must be known. A request whose own time limit ends later is refused with 503 and Retry-After at once, on its first attempt as on any other; one that is open by then gets a response instead of a closed connection. The endpoint's time cannot be known, the request's limit can. The last 0.05 of the grace time is left for SIGKILL, the 0.07 before for writing responses. Kept connections that cross the end of the process are another matter.

--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -22,7 +22,7 @@
     return gate;
 }
 
-bool isReady(const gate_state& gate) { return gate.routes && gate.endpointsKnown && !gate.stopping; }
+bool isReady(const gate_state& gate) { return gate.routes && gate.endpointsKnown && !gate.respondUntil; }
 
 service_rules serviceRulesOf(const gate_state& gate, const std::string& service)
 {
@@ -169,8 +169,8 @@
         onCallerGone(gate, caller->request, effects);
     else if (const auto* woken = std::get_if<request_timer_expired>(&event))
         onRequestTimer(gate, now, woken->request, effects);
-    else
-        gate.stopping = true;
+    else if (const auto* stop = std::get_if<stop_requested>(&event))
+        onStopRequested(gate, *stop, effects);
     gate.members.members[gate.self.vm].record.serving = isReady(gate);
     if (isReady(gate) != wasReady)
         effects.push_back(log_line { "ready", { { "ready", isReady(gate) ? "yes" : "no" } } });
--- a/src/gate/gate_event.h
+++ b/src/gate/gate_event.h
@@ -77,6 +77,7 @@
 
 /** A graceful stop begins. */
 struct stop_requested {
+    time_point respondUntil {}; ///< When the response to the last request must be known.
 };
 
 using gate_event = std::variant<config_received, endpoint_updated, endpoint_removed, endpoints_listed, evacuations_updated,
--- a/src/gate/gate_internal.h
+++ b/src/gate/gate_internal.h
@@ -87,6 +87,7 @@
 void onRequestReceived(gate_state& gate, time_point now, const request_received& event, gate_effects& effects);
 void onAttemptEnded(gate_state& gate, time_point now, const attempt_ended& event, gate_effects& effects);
 void onRequestTimer(gate_state& gate, time_point now, std::uint64_t id, gate_effects& effects);
+void onStopRequested(gate_state& gate, const stop_requested& event, gate_effects& effects);
 void onCallerGone(gate_state& gate, std::uint64_t id, gate_effects& effects);
 
 } // namespace lhub
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -78,6 +78,15 @@
     respond(gate, now, id, now >= request.deadline ? 504 : 502, milliseconds(0), reason, ownCause, effects);
 }
 
+/** When the response to a request must be known: at its deadline, or earlier if this VM stops. */
+static time_point responseDueAt(const gate_state& gate, const gate_request& request)
+{
+    return gate.respondUntil ? std::min(request.deadline, *gate.respondUntil) : request.deadline;
+}
+
+/** Whether this VM will run until the request's deadline. If not, an attempt might be cut off, and the request is better sent to another VM. */
+static bool outlasts(const gate_state& gate, const gate_request& request) { return responseDueAt(gate, request) == request.deadline; }
+
 /** Starts an attempt at the chosen endpoint. */
 static void sendTo(gate_state& gate, time_point now, std::uint64_t id, const place_choice& choice, endpoint_state& endpoint,
     gate_effects& effects)
@@ -127,7 +136,7 @@
 {
     if (request.countedAttempts >= std::max(1U, request.matchedRoute->maxAttempts) || request.attempts.size() >= MaxAttempts)
         return false;
-    if (now + ResponseTransitTime >= request.deadline)
+    if (now + ResponseTransitTime >= request.deadline || !outlasts(gate, request))
         return false;
     if (request.countedAttempts == 0)
         return true;
@@ -153,6 +162,10 @@
 static void placeAndSend(gate_state& gate, time_point now, std::uint64_t id, gate_effects& effects)
 {
     auto& request = gate.requests.at(id);
+    if (!outlasts(gate, request)) {
+        failRequest(gate, now, id, 0, "this VM stops", loss_cause::Stopping, effects);
+        return;
+    }
     const auto list = candidatesFor(gate, request, now);
     const auto choice = choosePlacement(gate, request, list, now);
     if (!choice) {
@@ -282,15 +295,26 @@
         return;
     auto& request = found->second;
     recordOverdueAttempts(gate, request, now, effects);
-    if (now < request.deadline) {
-        effects.push_back(set_request_timer { id, request.deadline });
+    const auto dueAt = responseDueAt(gate, request);
+    if (now < dueAt) {
+        effects.push_back(set_request_timer { id, dueAt });
         if (!request.hedgeConsidered && request.matchedRoute->repeatable)
             sendHedge(gate, now, id, effects);
         return;
     }
     for (const auto& attempt : request.attempts)
         request.mayHaveRun = request.mayHaveRun || attempt.open;
-    failRequest(gate, now, id, 0, "deadline", loss_cause::Deadline, effects);
+    const bool expired = now >= request.deadline;
+    failRequest(gate, now, id, 0, expired ? "deadline" : "this VM stops", expired ? loss_cause::Deadline : loss_cause::Stopping, effects);
+}
+
+void onStopRequested(gate_state& gate, const stop_requested& event, gate_effects& effects)
+{
+    gate.respondUntil = event.respondUntil;
+    for (const auto& [id, request] : gate.requests) {
+        if (!request.closed && !outlasts(gate, request))
+            effects.push_back(set_request_timer { id, event.respondUntil });
+    }
 }
 
 void onCallerGone(gate_state& gate, std::uint64_t id, gate_effects& effects)
--- a/src/gate/gate_type.h
+++ b/src/gate/gate_type.h
@@ -137,7 +137,7 @@
     per_second_counts placements; ///< Attempts that were sent.
     per_second_counts crossRegionMoves; ///< Attempts among them that load moved to another region.
     std::uint64_t lastAttemptId = 0; ///< Id of the newest attempt.
-    bool stopping = false; ///< A graceful stop began.
+    std::optional<time_point> respondUntil; ///< When the response to the last request must be known; set when a graceful stop began.
 };
 
 } // namespace lhub
--- a/src/loss/loss_type.h
+++ b/src/loss/loss_type.h
@@ -39,12 +39,13 @@
     RefusedForTime, ///< Refused by this VM: it could not be served before its deadline.
     RefusedAgain, ///< Refused by this VM, and its caller had come back after an earlier refusal.
     NotReady, ///< No route, no configuration, no endpoint that may take it, or no room for it in the VM.
+    Stopping, ///< This VM stops, and its response might not have been known in time.
     CallerGone, ///< The caller left before its response.
     Deadline, ///< The deadline passed while an attempt that was not overdue was open.
 };
 
 /** Names of causes in logs, metrics and reports. */
-inline constexpr std::array<name_row<loss_cause>, 14> LossCauseNames { {
+inline constexpr std::array<name_row<loss_cause>, 15> LossCauseNames { {
     { loss_cause::None, "none" },
     { loss_cause::NotCached, "not_cached" },
     { loss_cause::Uncached, "uncached" },
@@ -57,6 +58,7 @@
     { loss_cause::RefusedForTime, "refused_for_time" },
     { loss_cause::RefusedAgain, "refused_again" },
     { loss_cause::NotReady, "not_ready" },
+    { loss_cause::Stopping, "stopping" },
     { loss_cause::CallerGone, "caller_gone" },
     { loss_cause::Deadline, "deadline" },
 } };
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -18,8 +18,10 @@
 static constexpr milliseconds SweepInterval { 250 };
 /** Share of the grace time after which no new connections are accepted. */
 static constexpr double AcceptShare = 0.6;
+/** Share of the grace time by which the response to each request must be known; the rest is for writing it. */
+static constexpr double RespondShare = 0.88;
 /** Share of the grace time after which the process ends, even with requests open. */
-static constexpr double EndShare = 0.93;
+static constexpr double EndShare = 0.95;
 
 /** ":port" of an address "IP:port". */
 static std::string portOf(const std::string& address) { return address.substr(address.rfind(':')); }
@@ -230,8 +232,8 @@
         return stopBegan + std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace) * share);
     };
     logEvent("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, stopBegan);
-    processEvent(shell, stop_requested {});
     shell.stopping = true;
+    processEvent(shell, stop_requested { afterShare(RespondShare) });
     while (shell.clock.now() < afterShare(EndShare)) {
         co_await pauseFor(milliseconds(50));
         const bool accepting = shell.callerAcceptor->is_open();
--- a/tests/test_gate.cpp
+++ b/tests/test_gate.cpp
@@ -294,6 +294,57 @@
     CHECK(rig.gate.requests.empty());
 }
 
+// Guards against requests that are passed on late in a stop and cut off by the end of the process.
+TEST_CASE("a VM that stops sends no request that may outlast it, neither as a first attempt nor as a retry or a hedge")
+{
+    auto rig = makeRig();
+    const auto stopsAt = Start + milliseconds(5000);
+    feed(rig, stop_requested { stopsAt });
+    rig.now = stopsAt - milliseconds(2000);
+    sendRequest(rig, "/write/x");
+    CHECK(find<send_attempt>(rig));
+    rig.now += milliseconds(1);
+    for (const auto* target : { "/write/x", "/read/x" }) {
+        sendRequest(rig, target);
+        CHECK_FALSE(find<send_attempt>(rig));
+        REQUIRE(find<send_response>(rig));
+        CHECK(find<send_response>(rig)->status == 503);
+        CHECK(find<send_response>(rig)->retryAfter.count() > 0);
+    }
+    sendRequest(rig, "/read/x", "o", milliseconds(1500));
+    CHECK(find<send_attempt>(rig)); // Its caller waits less long than the VM runs.
+    for (const auto outcome : { dispatch_outcome::Shed, dispatch_outcome::ConnectFailed, dispatch_outcome::NoResponse }) {
+        auto other = makeRig();
+        const auto id = sendRequest(other, "/read/x");
+        const auto sent = *find<send_attempt>(other);
+        const auto overdueAt = find<set_request_timer>(other)->at;
+        feed(other, stop_requested { Start + milliseconds(1500) });
+        other.now = overdueAt;
+        feed(other, request_timer_expired { id });
+        CHECK_FALSE(find<send_attempt>(other));
+        feed(other, attemptEnded(sent, outcome, outcome == dispatch_outcome::Shed ? 503 : 0));
+        CHECK_FALSE(find<send_attempt>(other));
+        REQUIRE(find<send_response>(other));
+        CHECK(find<send_response>(other)->status == (outcome == dispatch_outcome::NoResponse ? 502 : 503));
+    }
+}
+
+// Guards against open requests that the end of the process cuts off without a response.
+TEST_CASE("a request that is still open when the last responses of a VM that stops are due gets one")
+{
+    auto rig = makeRig();
+    const auto id = sendRequest(rig, "/write/x");
+    const auto sent = *find<send_attempt>(rig);
+    feed(rig, stop_requested { Start + milliseconds(1000) });
+    REQUIRE(find<set_request_timer>(rig));
+    CHECK(find<set_request_timer>(rig)->at == Start + milliseconds(1000));
+    rig.now = Start + milliseconds(1000);
+    feed(rig, request_timer_expired { id });
+    REQUIRE(find<send_response>(rig));
+    CHECK(find<send_response>(rig)->status == 502); // It may have run.
+    CHECK(find<cancel_attempt>(rig)->attempt == sent.attempt);
+}
+
 TEST_CASE("a cold endpoint gets requests from one VM of its region only, within its rate")
 {
     auto rig = makeRig({});
