Fix: A graceful stop ends idle connections in a way that a request can cross

What callers saw: on connections that had been idle for seconds, requests that crossed the end of the process were answered by a reset or a bare end of the connection, so that the caller of an order did not know whether it had run. A response whose caller had not read it yet could be lost with such a reset. Cause: idle connections stayed open until the process had nothing else to do, and were closed by its end, with whatever had just arrived unread. Evidence: by reading, and by the test: with the new call switched off the connections end by the destruction of the process's sockets, without a byte. Why this works: at half of the grace time a connection without a request gets 408, which HTTP has for this case (RFC 9110, 15.5.9: the request was not read, it may be sent again on another connection), and then the end of the sending side only; what arrives later is read and dropped for a second, so that no reset overtakes the 408. The process ends when no connection is open, not when none is busy, and a connection is not closed before its last bytes are acknowledged. New connections are taken for half of the grace time instead of 0.6: later ones would mostly be refused. Also found: a connection whose caller sent something after its last response had no time-out any more; now it has its own. Tests: 'serve: a stopping VM ends idle connections ...' fails in 6 checks with the call switched off.

--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -1,6 +1,8 @@
 /** @file serve_caller.cpp Connections of callers: accepting, reading requests, and time-outs. */
 #include "net/http_func.h"
 #include "serve/serve_func.h"
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace lhub {
@@ -9,6 +11,8 @@
 static constexpr std::size_t MaxPipelinedRequests = 16;
 /** Added to the announced idle time, so that a request sent at its very end is not cut off. */
 static constexpr milliseconds IdleMargin { 3000 };
+/** Time after a connection was accepted within which its first request is expected; it is not idle before. */
+static constexpr milliseconds FirstRequestTime { 500 };
 
 using request_parser = http::request_parser<http::string_body>;
 using caller_pointer = std::shared_ptr<caller_connection>;
@@ -242,6 +246,7 @@
     }
     auto caller = std::make_shared<caller_connection>(std::move(socket), shell.context.get_executor());
     caller->readTimeoutAt = time_point::max();
+    caller->acceptedAt = shell.clock.now();
     shell.callers.push_back(caller);
     asio::co_spawn(shell.context, readRequests(shell, caller), asio::detached);
     asio::co_spawn(shell.context, writeResponses(shell, caller), asio::detached);
@@ -274,30 +279,57 @@
     acceptor.close(error);
 }
 
-/** Whether a connection has a request that is received, being read or being answered, or a response that the caller may not have read. */
-static bool isBusy(caller_connection& caller)
+std::size_t openCallers(gate_shell& shell)
 {
-    if (!caller.socket.is_open())
-        return false;
-    if (!caller.queue.empty() || caller.closing || caller.readerDone || caller.buffer.size() > 0 || caller.reservedBytes > 0)
+    return static_cast<std::size_t>(std::count_if(shell.callers.begin(), shell.callers.end(), [](const auto& weak) {
+        const auto caller = weak.lock();
+        return caller && caller->socket.is_open();
+    }));
+}
+
+/** Whether bytes of a request have arrived that is not in the queue yet. */
+static bool isReceiving(caller_connection& caller)
+{
+    if (caller.buffer.size() > 0 || caller.reservedBytes > 0)
         return true;
     char byte = 0;
     return ::recv(caller.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-std::size_t busyCallers(gate_shell& shell)
+void endIdleCallers(gate_shell& shell, bool evenReceiving)
 {
-    return static_cast<std::size_t>(std::count_if(shell.callers.begin(), shell.callers.end(), [](const auto& weak) {
+    const auto now = shell.clock.now();
+    for (const auto& weak : shell.callers) {
         const auto caller = weak.lock();
-        return caller && isBusy(*caller);
-    }));
+        if (!caller || !caller->socket.is_open() || !caller->queue.empty() || caller->closing || caller->readerDone)
+            continue;
+        if (evenReceiving || (now >= caller->acceptedAt + FirstRequestTime && !isReceiving(*caller))) {
+            ++shell.counters.idleCallersEnded;
+            caller->closing = true;
+            caller->rejectStatus = static_cast<unsigned>(http::status::request_timeout);
+            signalChange(*caller);
+        }
+    }
+}
+
+/** Whether bytes that were written to the connection have not been acknowledged yet. */
+static bool hasUnsentBytes(caller_connection& caller)
+{
+    int bytes = 0;
+    return ::ioctl(caller.socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+/** Whether a connection is over that is only kept for its caller to read the last response. */
+static bool hasLingered(const gate_shell& shell, caller_connection& caller, time_point now)
+{
+    return now >= caller.lingerUntil && (!hasUnsentBytes(caller) || now - caller.lingerUntil >= callerLimits(shell).idleTimeout);
 }
 
 /** Applies the time-outs of one connection: a silent caller, one that does not read its response, a response body that has stalled. */
 static void sweepCaller(gate_shell& shell, caller_connection& caller, time_point now)
 {
     if (caller.queue.empty()) {
-        if (now >= caller.readTimeoutAt)
+        if (now >= caller.readTimeoutAt || hasLingered(shell, caller, now))
             closeCaller(caller);
         return;
     }
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -16,12 +16,14 @@
 static constexpr milliseconds SettingsPollInterval { 1000 };
 /** Time between two checks of all connections for time-outs. */
 static constexpr milliseconds SweepInterval { 250 };
-/** Share of the grace time after which no new connections are accepted. */
-static constexpr double AcceptShare = 0.6;
+/** Share of the grace time after which no new connections are accepted, and idle ones are ended. */
+static constexpr double AcceptShare = 0.5;
 /** Share of the grace time by which the response to each request must be known; the rest is for writing it. */
 static constexpr double RespondShare = 0.88;
-/** Share of the grace time after which the process ends, even with requests open. */
+/** Share of the grace time after which the process ends, even with connections open. */
 static constexpr double EndShare = 0.95;
+/** Time between two checks of the state of a graceful stop. */
+static constexpr milliseconds StopCheckInterval { 50 };
 
 /** ":port" of an address "IP:port". */
 static std::string portOf(const std::string& address) { return address.substr(address.rfind(':')); }
@@ -119,6 +121,7 @@
     counter("attempts", counters.attempts);
     counter("bad_requests", counters.badRequests);
     counter("callers_closed_for_room", counters.idleCallersEvicted);
+    counter("callers_ended_by_stop", counters.idleCallersEnded);
     counter("callers_left_unread", counters.callersLeftUnread);
     counter("callers_stuck", counters.callersStuck);
     counter("requests_without_room", counters.requestsWithoutRoom);
@@ -231,19 +234,22 @@
     const auto afterShare = [&](double share) {
         return stopBegan + std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace) * share);
     };
-    logEvent("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, stopBegan);
+    logEvent("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "callers", std::to_string(openCallers(shell)) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, stopBegan);
     shell.stopping = true;
     processEvent(shell, stop_requested { afterShare(RespondShare) });
     while (shell.clock.now() < afterShare(EndShare)) {
-        co_await pauseFor(milliseconds(50));
-        const bool accepting = shell.callerAcceptor->is_open();
-        if (accepting && shell.clock.now() >= afterShare(AcceptShare))
+        co_await pauseFor(StopCheckInterval);
+        const auto now = shell.clock.now();
+        if (now < afterShare(AcceptShare))
+            continue;
+        if (shell.callerAcceptor->is_open())
             acceptPendingAndClose(shell);
-        if (!accepting && busyCallers(shell) == 0)
+        endIdleCallers(shell, now >= afterShare(RespondShare));
+        if (openCallers(shell) == 0)
             break;
     }
     logCutRequests(shell);
-    logEvent("stopped", { { "open", std::to_string(shell.exchanges.size()) }, { "busy_callers", std::to_string(busyCallers(shell)) }, { "after_ms", std::to_string(elapsed(stopBegan, shell.clock.now()).count()) } }, shell.clock.now());
+    logEvent("stopped", { { "open", std::to_string(shell.exchanges.size()) }, { "callers", std::to_string(openCallers(shell)) }, { "after_ms", std::to_string(elapsed(stopBegan, shell.clock.now()).count()) } }, shell.clock.now());
     shell.context.stop();
 }
 
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -62,8 +62,15 @@
 /** Accepts the connections that are pending in the kernel, then closes the acceptor. Closing alone would reset them with their requests. */
 void acceptPendingAndClose(gate_shell& shell);
 
-/** Number of callers' connections that an end of the process would interrupt, see isBusy(). */
-std::size_t busyCallers(gate_shell& shell);
+/** Number of callers' connections that are open, including those whose last response was written and may not have been read. */
+std::size_t openCallers(gate_shell& shell);
+
+/**
+ * Ends the connections of callers that have no request open. A request that crosses the end gets a 408, which says that it has
+ * not run and that the caller may send it again; so nothing that arrives on such a connection is passed on.
+ * @param evenReceiving also those where a part of a request has arrived.
+ */
+void endIdleCallers(gate_shell& shell, bool evenReceiving);
 
 /** Closes callers' connections that have timed out, and cancels attempts whose response bodies have stalled. */
 void sweepCallers(gate_shell& shell);
--- a/src/serve/serve_response.cpp
+++ b/src/serve/serve_response.cpp
@@ -9,6 +9,9 @@
 /** Retry-After of a request refused at the limit on open requests or body bytes; about as long as a request body is held. */
 static constexpr milliseconds OverCapacityRetryAfter { 500 };
 
+/** How long a connection is read after its last response, for the caller to close it. */
+static constexpr milliseconds LingerTime { 1000 };
+
 /** Makes the response of this VM itself, with a problem document as its body. */
 static http_response makeLocalResponse(const gate_exchange& exchange, const send_response& answer)
 {
@@ -143,11 +146,24 @@
     co_return false;
 }
 
-/** Writes the error response for a request that could not be read. */
+/** Title of the error response for a request that was not read. */
+static const char* rejectionTitle(unsigned status)
+{
+    switch (status) {
+    case 503:
+        return "no room for the request";
+    case 408:
+        return "the connection ends, no request was read";
+    default:
+        return "the request cannot be read";
+    }
+}
+
+/** Writes the error response for a request that was not read. */
 static asio::awaitable<void> writeRejection(const std::shared_ptr<caller_connection>& caller)
 {
     const bool overCapacity = caller->rejectStatus == 503;
-    auto response = makeProblem(static_cast<http::status>(caller->rejectStatus), overCapacity ? "no room for the request" : "the request cannot be read", "");
+    auto response = makeProblem(static_cast<http::status>(caller->rejectStatus), rejectionTitle(caller->rejectStatus), "");
     if (overCapacity)
         platform::addRetryAfter(response, OverCapacityRetryAfter);
     response.keep_alive(false);
@@ -161,7 +177,7 @@
 {
     error_code error;
     caller->socket.shutdown(tcp::socket::shutdown_send, error);
-    caller->readTimeoutAt = shell.clock.now() + seconds(1);
+    caller->lingerUntil = shell.clock.now() + LingerTime;
     std::array<char, 1024> discarded;
     std::size_t total = 0;
     while (!error && total < 1'000'000)
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -582,9 +582,9 @@
     rig->gate->settings.bounds.stopGrace = seconds(5);
     asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
     runUntil(*rig, [&] { return rig->gate->stopping; });
-    const auto closesAt = rig->clock.now() + milliseconds(3000); // Six tenths of the grace time.
+    const auto closesAt = rig->clock.now() + milliseconds(2500); // Half of the grace time.
     std::vector<std::unique_ptr<tcp::socket>> sockets;
-    std::this_thread::sleep_for(milliseconds(3050)); // As on a slow machine: the timer that closes the acceptor and these connections are due at the same time.
+    std::this_thread::sleep_for(milliseconds(2550)); // As on a slow machine: the timer that closes the acceptor and these connections are due at the same time.
     REQUIRE(rig->clock.now() > closesAt);
     for (int i = 0; i < 8; ++i) {
         sockets.push_back(std::make_unique<tcp::socket>(rig->context));
@@ -639,6 +639,38 @@
     CHECK(runCount(*rig, "late") == 0);
 }
 
+// Guards against requests on kept connections that cross the end of the process and get no response.
+TEST_CASE("serve: a stopping VM ends idle connections so that a request that crosses the end gets a 408 and runs nowhere")
+{
+    auto rig = makeRig(1);
+    rig->gate->settings.bounds.stopGrace = seconds(4);
+    tcp::socket silent(rig->context);
+    tcp::socket crossing(rig->context);
+    silent.connect(rig->gate->callerAcceptor->local_endpoint());
+    crossing.connect(rig->gate->callerAcceptor->local_endpoint());
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
+    asio::co_spawn(
+        rig->context, [&]() -> asio::awaitable<void> {
+            while (rig->gate->callerAcceptor->is_open())
+                co_await pauseFor(milliseconds(5));
+            asio::write(crossing, asio::buffer(postRequest("/write/x", "crossing", "b")));
+            while (silent.available() == 0)
+                co_await pauseFor(milliseconds(5));
+            silent.shutdown(tcp::socket::shutdown_send); // Its caller has seen the end.
+        },
+        asio::detached);
+    for (auto* socket : { &crossing, &silent }) {
+        error_code error;
+        const auto received = receivedAfterStop(*rig, *socket, error);
+        CHECK(error == asio::error::eof);
+        CHECK(received.find("HTTP/1.1 408") == 0);
+        CHECK(received.find("Connection: close") != std::string::npos);
+        CHECK(countOccurrences(received, "HTTP/1.1 ") == 1);
+    }
+    CHECK(runCount(*rig, "crossing") == 0);
+    CHECK(openCallers(*rig->gate) == 0);
+}
+
 /** Publishes version 2 of the configuration, with @p from replaced by @p to, and waits until the entry VM applies it. */
 static void changeConfig(serve_rig& rig, const std::string& from, const std::string& to)
 {
