Fix: A graceful stop answers pipelined requests that have arrived before it ends their connection

What callers saw: in a stop, the next response ended the connection, and the requests behind it that had already arrived had to be sent again. Cause: with the first response after SIGTERM no further request was read, whatever had arrived. Why this works: while connections are still accepted, the response that ends a connection is one behind which nothing has arrived, by the kernel's word. Tests: 'serve: a stopping VM answers the pipelined requests ...' got 16 of 21 responses before.

--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -287,8 +287,7 @@
     }));
 }
 
-/** Whether bytes of a request have arrived that is not in the queue yet. */
-static bool isReceiving(caller_connection& caller)
+bool isReceiving(caller_connection& caller)
 {
     if (caller.buffer.size() > 0 || caller.reservedBytes > 0)
         return true;
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -44,6 +44,9 @@
 /** Whether the caller has closed its sending side, or reset the connection, and nothing is left to read. Asks the kernel, since the process may be behind. */
 bool hasDisconnected(caller_connection& caller);
 
+/** Whether bytes of a request have arrived that is not in the queue yet. Asks the kernel, since the process may be behind. */
+bool isReceiving(caller_connection& caller);
+
 /** Closes a connection with a reset, so that a response in progress cannot look complete. */
 void resetCaller(caller_connection& caller);
 
--- a/src/serve/serve_response.cpp
+++ b/src/serve/serve_response.cpp
@@ -106,11 +106,21 @@
     co_return !error;
 }
 
+/**
+ * Whether the connection ends with this request and those that were read already after it. In a stop it ends once no pipelined request
+ * waits to be read, since its caller would have to send again what is behind the last response.
+ */
+static bool isLastRequest(const gate_shell& shell, caller_connection& caller, const gate_exchange& exchange)
+{
+    if (!exchange.request.keep_alive())
+        return true;
+    return shell.stopping && (!shell.callerAcceptor->is_open() || (caller.queue.size() == 1 && !isReceiving(caller)));
+}
+
 /** Writes the response of one exchange. @return false when the connection cannot be used for another response. */
 static asio::awaitable<bool> writeResponse(gate_shell& shell, const std::shared_ptr<caller_connection>& caller, gate_exchange& exchange)
 {
-    // Requests that were already read after this one are still answered; no further one is read.
-    caller->closing = caller->closing || shell.stopping || !exchange.request.keep_alive();
+    caller->closing = caller->closing || isLastRequest(shell, *caller, exchange);
     caller->writeTimeoutAt = shell.clock.now() + callerLimits(shell).idleTimeout;
     const bool close = caller->closing && caller->queue.size() == 1;
     if (exchange.localResponse) {
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -639,6 +639,25 @@
     CHECK(runCount(*rig, "late") == 0);
 }
 
+// Guards against pipelined requests that their callers have to send again because a stop ends the connection before them.
+TEST_CASE("serve: a stopping VM answers the pipelined requests that have arrived before it ends the connection")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->work = milliseconds(50);
+    const auto caller = connectCaller(*rig);
+    sendBytes(*caller, getRequest("/read/x", "first"));
+    runUntil(*rig, [&] { return runCount(*rig, "first") == 1; });
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
+    runUntil(*rig, [&] { return rig->gate->stopping; });
+    std::string behind;
+    for (int i = 0; i < 20; ++i) // More than are read before a response is written.
+        behind += getRequest("/read/x", "behind" + std::to_string(i));
+    sendBytes(*caller, behind);
+    runUntil(*rig, [&] { return caller->closed; });
+    CHECK(countOccurrences(caller->received, "HTTP/1.1 ") == 21);
+    CHECK(countOccurrences(caller->received, "Connection: close") == 1);
+}
+
 // Guards against requests on kept connections that cross the end of the process and get no response.
 TEST_CASE("serve: a stopping VM ends idle connections so that a request that crosses the end gets a 408 and runs nowhere")
 {
