Feature: The soak plays planned operations with slow endpoints and idle connections

Cause: the soak had not found that stops cut requests off. Without faults a lost response does not depend on times, so it is checked with --no-timed, too, and a request that crosses the end of its connection without a response is reported as well. A message says how long after SIGTERM a request was sent and cut.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -67,7 +67,8 @@
     state.settings = settings;
     state.settings.directory += "/seed-" + std::to_string(settings.seed);
     std::filesystem::remove_all(state.settings.directory);
-    state.record.plan = planSoak(settings.seed, settings.duration);
+    state.record.plan = planSoak(settings.seed, settings.duration, settings.scenario);
+    state.record.scenario = settings.scenario;
     state.record.duration = settings.duration;
     const auto built = setUp(state);
     if (!built)
@@ -106,6 +107,8 @@
     app.add_option("--program", settings.program, "path of lhub-gate");
     app.add_option("--seeds", seeds, "seeds of the runs, one after the other");
     app.add_option("--seconds", duration, "duration of the traffic in seconds")->check(CLI::Range(3, 600));
+    std::string scenario(lhub::nameOf(lhub::soak::ScenarioNames, settings.scenario));
+    app.add_option("--scenario", scenario, "faults, or planned: planned operations only, slow endpoints, idle connections")->check(CLI::IsMember({ "faults", "planned" }));
     app.add_option("--gates", settings.gates, "processes of lhub-gate")->check(CLI::Range(1, 300));
     app.add_option("--endpoints", settings.endpoints, "endpoints")->check(CLI::Range(3, 200));
     app.add_option("--callers", settings.callers, "callers")->check(CLI::Range(1, 500));
@@ -114,6 +117,8 @@
     app.add_flag("--verbose", verbose, "print each step of the plan");
     CLI11_PARSE(app, argc, argv);
     settings.duration = std::chrono::seconds(duration);
+    for (const auto& row : lhub::soak::ScenarioNames)
+        settings.scenario = row.name == scenario ? row.value : settings.scenario;
     bool allPassed = true;
     for (const auto seed : seeds) {
         settings.seed = seed;
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -3,7 +3,9 @@
 #include "platform/standin/operator_standin.h"
 #include "soak/soak_world.h"
 
+#include <optional>
 #include <random>
+#include <sys/socket.h>
 
 namespace lhub::soak {
 
@@ -13,6 +15,8 @@
 static constexpr milliseconds ResponseTimeout { 5000 }; ///< For the requests of one exchange; longer than the timeout of any route.
 static constexpr milliseconds CallerTimeout { 3000 }; ///< Sent with each request.
 static constexpr unsigned MaxPipelined = 4; ///< Most requests sent before the first response is read.
+static constexpr milliseconds MaxIdle { 8000 }; ///< Longest time that a caller keeps an idle connection in the scenario of planned operations.
+static constexpr milliseconds LookupKeepTime { 6000 }; ///< Longest time that a caller uses the response of a look-up in that scenario; three lifetimes.
 static constexpr unsigned MaxExchangesPerConnection = 12; ///< Most exchanges, of one or more pipelined requests, before a caller opens a new connection.
 
 /** Index of the VM with an IP; 0 when there is none. */
@@ -93,6 +97,7 @@
         const auto request = makeRequest(state, random, record);
         sent.push_back(state.record.requests.size());
         const bool alone = !record.repeatable;
+        record.alone = count == 1;
         state.record.requests.push_back(record);
         co_await http::async_write(stream, request, token);
         if (alone) // Nothing is pipelined behind a request that is not repeatable.
@@ -115,28 +120,58 @@
     co_return reusable;
 }
 
+/** Whether the VM has neither closed the connection nor sent anything on it. */
+static bool isOpenAndSilent(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+/** How long a caller pauses before the next request on a connection. */
+static milliseconds pauseBetweenRequests(const soak_state& state, std::mt19937_64& random)
+{
+    const bool keepsIdle = state.settings.scenario == soak_scenario::Planned && random() % 2 == 0;
+    return milliseconds(random() % (keepsIdle ? MaxIdle.count() : 40));
+}
+
+/** Uses one connection until the VM closes it, also while the VM is stopping. @return whether a connection was made. */
+static asio::awaitable<bool> useConnection(soak_state& state, std::size_t gate, unsigned number, std::mt19937_64& random)
+{
+    const auto gateStart = state.gates[gate].starts;
+    beast::tcp_stream stream(state.context);
+    error_code error;
+    stream.expires_after(LookupTimeout);
+    co_await stream.async_connect(tcp::endpoint(asio::ip::make_address(state.gates[gate].ip), state.callerPort), asio::redirect_error(asio::use_awaitable, error));
+    beast::flat_buffer buffer;
+    bool reusable = !error;
+    for (unsigned i = 0; reusable && i < MaxExchangesPerConnection && !state.trafficEnded; ++i) {
+        reusable = co_await exchangeRequests(state, stream, buffer, gate, gateStart, number, random);
+        co_await sleepFor(pauseBetweenRequests(state, random));
+        // After a long pause a caller looks whether the VM has ended the connection.
+        reusable = reusable && (state.settings.scenario == soak_scenario::Faults || isOpenAndSilent(stream));
+    }
+    co_return !error;
+}
+
 asio::awaitable<void> runCaller(soak_state& state, unsigned number)
 {
     std::mt19937_64 random(state.settings.seed * 1000 + number);
     static constexpr milliseconds Pause { 50 };
+    std::optional<std::size_t> gate;
+    milliseconds lookedUpAt { 0 };
     while (!state.trafficEnded) {
-        const auto gate = co_await lookUp(state, random);
+        const bool keepsLookup = gate && state.settings.scenario == soak_scenario::Planned && random() % 2 == 0 && sinceTrafficStart(state) - lookedUpAt < LookupKeepTime;
+        if (!keepsLookup) {
+            gate = co_await lookUp(state, random);
+            lookedUpAt = sinceTrafficStart(state);
+        }
         if (!gate) {
             co_await sleepFor(Pause);
             continue;
         }
-        const auto gateStart = state.gates[*gate].starts;
-        beast::tcp_stream stream(state.context);
-        error_code error;
-        stream.expires_after(LookupTimeout);
-        co_await stream.async_connect(tcp::endpoint(asio::ip::make_address(state.gates[*gate].ip), state.callerPort), asio::redirect_error(asio::use_awaitable, error));
-        beast::flat_buffer buffer;
-        bool reusable = !error;
-        // Callers use a connection until the VM closes it, also while the VM is stopping.
-        for (unsigned i = 0; reusable && i < MaxExchangesPerConnection && !state.trafficEnded; ++i) {
-            reusable = co_await exchangeRequests(state, stream, buffer, *gate, gateStart, number, random);
-            co_await sleepFor(milliseconds(random() % 40));
-        }
+        const bool connected = co_await useConnection(state, *gate, number, random);
+        if (!connected)
+            gate.reset();
     }
 }
 
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -73,13 +73,31 @@
     }
 }
 
+/** How long before the end of a request its VM got SIGTERM, for messages; empty if it got none. */
+static std::string timeSinceStop(const soak_record& record, const request_record& request)
+{
+    const auto found = record.stops.find({ request.gate, request.gateStart });
+    if (found == record.stops.end() || found->second > request.endedAt)
+        return "";
+    return ", sent " + std::to_string((request.sentAt - found->second).count()) + " ms and cut " + std::to_string((request.endedAt - found->second).count()) + " ms after SIGTERM";
+}
+
 /** While no unplanned step is near, every request that ran gets a response. */
 static void checkLostResponses(const soak_record& record, const soak_bounds& bounds, std::vector<std::string>& violations)
 {
     for (const auto& request : record.requests) {
         const bool lost = request.status == 0 && !request.wrong && request.endedAt.count() > 0 && runsOf(record, request.id) > 0;
         if (lost && isCalm(record.plan, request.sentAt, request.endedAt, bounds.stabilityTime))
-            violations.push_back("lost: " + request.id + " ran and got no response from VM " + std::to_string(request.gate) + " at " + std::to_string(request.sentAt.count()) + " ms");
+            violations.push_back("lost: " + request.id + " ran and got no response from VM " + std::to_string(request.gate) + " at " + std::to_string(request.sentAt.count()) + " ms" + timeSinceStop(record, request));
+    }
+}
+
+/** With planned operations only, a request on an open connection without another one gets a response, whether it ran or not. */
+static void checkCrossings(const soak_record& record, std::vector<std::string>& violations)
+{
+    for (const auto& request : record.requests) {
+        if (request.alone && request.status == 0 && request.endedAt.count() > 0 && runsOf(record, request.id) == 0)
+            violations.push_back("crossed: " + request.id + " got no response from VM " + std::to_string(request.gate) + " and did not run" + timeSinceStop(record, request));
     }
 }
 
@@ -105,8 +123,13 @@
     checkVersions(record, violations);
     checkRetries(record, bounds, violations);
     checkRecovery(record, violations);
-    if (bounds.checkTiming) {
+    // A stop cuts nobody off, however slow the machine is: without faults this does not depend on times.
+    const bool planned = record.scenario == soak_scenario::Planned;
+    if (planned || bounds.checkTiming)
         checkLostResponses(record, bounds, violations);
+    if (planned)
+        checkCrossings(record, violations);
+    if (bounds.checkTiming) {
         violations.insert(violations.end(), record.lateRequests.begin(), record.lateRequests.end());
     }
     violations.insert(violations.end(), record.processFailures.begin(), record.processFailures.end());
--- a/soak/soak_check.h
+++ b/soak/soak_check.h
@@ -18,6 +18,7 @@
     milliseconds endedAt { 0 }; ///< Since the start of the traffic; 0 until the response was read or the connection failed.
     unsigned status = 0; ///< HTTP status; 0 without a complete response.
     bool wrong = false; ///< The response has status 2xx, but belongs to another request or does not come from an endpoint.
+    bool alone = false; ///< No other request was sent before its response, on a connection that was open when it was sent.
     bool inOrder = true; ///< False when the response names another request id.
 };
 
@@ -25,6 +26,8 @@
 struct soak_record {
     std::vector<soak_step> plan; ///< All steps, in order.
     std::vector<request_record> requests; ///< Of all callers, in the order of sending.
+    soak_scenario scenario = soak_scenario::Faults;
+    std::map<std::pair<unsigned, unsigned>, milliseconds> stops; ///< When VMs got SIGTERM since the start of the traffic, by index and number of starts.
     std::map<std::string, unsigned> runs; ///< How often endpoints ran each request, by request id.
     std::vector<std::string> processFailures; ///< Messages: a process ended unasked, exceeded its limits or could not be started.
     std::vector<std::string> lateRequests; ///< Messages: requests reached a leaving endpoint or an evacuated zone too late.
--- a/soak/soak_plan.cpp
+++ b/soak/soak_plan.cpp
@@ -2,6 +2,7 @@
 #include "soak/soak_plan.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace lhub::soak {
@@ -26,12 +27,16 @@
     }
 }
 
-std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration)
+std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration, soak_scenario scenario)
 {
     std::mt19937_64 random(seed);
     const auto between = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
     // An endpoint can misbehave in many ways, so a quarter of the steps are of that kind; the others are chosen evenly from all kinds.
     const auto chooseKind = [&] {
+        if (scenario == soak_scenario::Planned) {
+            static constexpr std::array Kinds { step_kind::RollGates, step_kind::HangUpGate, step_kind::EndpointLeaves, step_kind::EvacuateZone, step_kind::NewConfig };
+            return between(0, 1) == 0 ? step_kind::StopGate : Kinds[static_cast<std::size_t>(between(0, Kinds.size() - 1))];
+        }
         const bool misbehaves = between(0, 3) == 0;
         const auto any = static_cast<step_kind>(between(0, static_cast<int>(StepNames.size()) - 1));
         return misbehaves ? step_kind::EndpointMisbehaves : any;
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -61,11 +61,23 @@
     milliseconds duration { 0 }; ///< Duration of the effect.
 };
 
+/** What a soak consists of. */
+enum class soak_scenario {
+    Faults, ///< Faults and planned operations; fast endpoints and busy connections.
+    Planned, ///< Planned operations only, most of them stops; endpoints are as slow as the users' and callers keep idle connections.
+};
+
+/** Names of scenarios on the command line. */
+inline constexpr std::array<name_row<soak_scenario>, 2> ScenarioNames { {
+    { soak_scenario::Faults, "faults" },
+    { soak_scenario::Planned, "planned" },
+} };
+
 /** Whether operators or platforms do this on purpose; no request may lose its response by it. Thread safe. */
 bool isPlanned(step_kind kind);
 
 /** The steps of a soak, in order. Steps come in series and overlap; none begins in the last third of @p duration. Thread safe. */
-std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration);
+std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration, soak_scenario scenario = soak_scenario::Faults);
 
 /** Whether no unplanned step is in effect from @p margin before @p from to @p margin after @p until. Thread safe. */
 bool isCalm(const std::vector<soak_step>& plan, milliseconds from, milliseconds until, milliseconds margin);
--- a/soak/soak_step.cpp
+++ b/soak/soak_step.cpp
@@ -41,6 +41,8 @@
         co_return;
     gate.expectedEnd = true;
     const int pid = gate.pid;
+    const auto index = static_cast<unsigned>(&gate - state.gates.data());
+    state.record.stops[{ index, gate.starts }] = sinceTrafficStart(state);
     signalGate(gate, SIGTERM);
     auto killAfterGraceTime = [](soak_state& state, soak_gate& gate, int pid) -> asio::awaitable<void> {
         co_await sleepFor(GraceTime);
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -141,7 +141,9 @@
     endpoint.standin = std::make_shared<platform::endpoint_standin>();
     endpoint.standin->id = "e" + std::to_string(number);
     endpoint.standin->namesRequest = true;
-    endpoint.standin->work = milliseconds(10 + 5 * (number % 4));
+    // The work of the users' endpoints takes 300 to 1,200 ms.
+    const bool slow = state.settings.scenario == soak_scenario::Planned;
+    endpoint.standin->work = slow ? milliseconds(300 + 150 * (number % 7)) : milliseconds(10 + 5 * (number % 4));
     endpoint.standin->answerBytes = number % 4 == 0 ? 200'000 : 400;
     endpoint.zone = Zones[number % Zones.size()].first;
     endpoint.acceptor = std::make_unique<tcp::acceptor>(state.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -52,6 +52,7 @@
     std::string directory; ///< Directory for settings files and logs.
     std::uint64_t seed = 1; ///< Of the plan and the callers.
     milliseconds duration { 20'000 }; ///< Duration of the traffic.
+    soak_scenario scenario = soak_scenario::Faults;
     unsigned gates = 5; ///< Processes of lhub-gate.
     unsigned endpoints = 9; ///< Endpoints at the same time.
     unsigned callers = 12; ///< Callers at the same time.
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -1,6 +1,7 @@
 /** @file test_soak.cpp The checks of the soak: each violated guarantee is reported, and the same seed gives the same plan. */
 #include "soak/soak_check.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace lhub;
@@ -92,6 +93,34 @@
     CHECK(checkSoak(record, untimed).empty());
 }
 
+TEST_CASE("soak: with planned operations only, lost responses and requests that cross the end of a VM are reported on a busy machine, too")
+{
+    soak_bounds untimed;
+    untimed.checkTiming = false;
+    auto record = recordWithoutViolations();
+    record.scenario = soak_scenario::Planned;
+    record.requests[100].status = 0;
+    record.stops[{ 0, 0 }] = record.requests[100].sentAt - milliseconds(4700);
+    const auto violations = checkSoak(record, untimed);
+    CHECK(hasOnly(violations, "lost"));
+    CHECK(violations.front().find("sent 4700 ms and cut 4720 ms after SIGTERM") != std::string::npos);
+    record.runs.erase(record.requests[100].id);
+    CHECK(checkSoak(record, untimed).empty()); // Behind another request on its connection.
+    record.requests[100].alone = true;
+    CHECK(hasOnly(checkSoak(record, untimed), "crossed"));
+    record.scenario = soak_scenario::Faults;
+    CHECK(checkSoak(record, untimed).empty());
+}
+
+TEST_CASE("soak: a plan of planned operations has no fault, and stops VMs")
+{
+    for (std::uint64_t seed = 1; seed < 50; ++seed) {
+        const auto plan = planSoak(seed, milliseconds(30'000), soak_scenario::Planned);
+        CHECK(std::all_of(plan.begin(), plan.end(), [](const soak_step& step) { return isPlanned(step.kind); }));
+        CHECK(std::any_of(plan.begin(), plan.end(), [](const soak_step& step) { return step.kind == step_kind::StopGate || step.kind == step_kind::RollGates; }));
+    }
+}
+
 TEST_CASE("soak: the same seed gives the same plan, in which no step begins in the last third")
 {
     const milliseconds duration { 30'000 };
