Feature: An exception that ends a task of lhub-gate is logged, and no longer stops all events

Change: tasks are started by spawn(), which logs `event=failed task=... reason=...`; an exception in the event loop itself is logged and ends the process with 1. Conclusion: a stop that an exception ends can be told from one that was cut by its grace time.

--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -11,7 +11,7 @@
 namespace lhub {
 
 static constexpr int ExitBadSettings = 2; ///< The settings are wrong or name no usable store.
-static constexpr int ExitFailed = 1; ///< Listening at an address failed.
+static constexpr int ExitFailed = 1; ///< Listening at an address failed, or an exception ended the process.
 static constexpr milliseconds LogCloseTime { 100 }; ///< Longest wait for the reader of the log at the end of the process; within the rest of the grace time.
 
 static outcome<gate_settings> readGateSettings(const std::string& path)
@@ -24,6 +24,18 @@
     return platform::decodeSettings(path, text.str());
 }
 
+/** Runs the context until the graceful stop ends it. @return false when an exception did, which is logged. */
+static bool runToEnd(asio::io_context& context, const clock_source& clock)
+{
+    try {
+        context.run();
+        return true;
+    } catch (const std::exception& error) {
+        logEvent("failed", { { "reason", error.what() } }, clock.now());
+        return false;
+    }
+}
+
 static int runGate(const gate_settings& settings, const std::string& path)
 {
     asio::io_context context(1);
@@ -46,16 +58,16 @@
     }
     logEvent("start", { { "vm", settings.vm }, { "zone", settings.zone }, { "version", LHUB_VERSION }, { "incarnation", std::to_string(incarnation) } }, clock.now());
     startGossip(shell);
-    asio::co_spawn(context, followStore(shell), asio::detached);
-    asio::co_spawn(context, reloadSettingsOnChange(shell), asio::detached);
+    spawn(shell, "follow_store", followStore(shell));
+    spawn(shell, "reload", reloadSettingsOnChange(shell));
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& error, int) {
         if (!error)
-            asio::co_spawn(context, stopGracefully(shell), asio::detached);
+            spawn(shell, "stop", stopGracefully(shell));
     });
-    context.run();
+    const bool ended = runToEnd(context, clock);
     closeLog(clock, LogCloseTime);
-    return 0;
+    return ended ? 0 : ExitFailed;
 }
 
 } // namespace lhub
--- a/src/serve/serve_attempt.cpp
+++ b/src/serve/serve_attempt.cpp
@@ -315,7 +315,7 @@
         }
     }
     attempt->requestStartedAt = shell.clock.now();
-    asio::co_spawn(shell.context, writeRequest(attempt, attempt->connection, makeEndpointRequest(*exchange, *attempt, shell.clock.now())), asio::detached);
+    spawn(shell, "write_request", writeRequest(attempt, attempt->connection, makeEndpointRequest(*exchange, *attempt, shell.clock.now())));
     const auto outcome = co_await readResponse(shell, *attempt, *exchange, reason);
     reportEnd(shell, *attempt, outcome, std::move(reason));
     const bool whole = attempt->parser && attempt->parser->is_done();
--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -248,8 +248,8 @@
     caller->readTimeoutAt = time_point::max();
     caller->acceptedAt = shell.clock.now();
     shell.callers.push_back(caller);
-    asio::co_spawn(shell.context, readRequests(shell, caller), asio::detached);
-    asio::co_spawn(shell.context, writeResponses(shell, caller), asio::detached);
+    spawn(shell, "read_requests", readRequests(shell, caller));
+    spawn(shell, "write_responses", writeResponses(shell, caller));
 }
 
 asio::awaitable<void> acceptCallers(gate_shell& shell)
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -173,7 +173,7 @@
         return failure<bool>(listening.reason);
     acceptor = std::move(*listening);
     static constexpr std::uint64_t LargestControlBody = 4096;
-    asio::co_spawn(shell.context, serveHttp(*acceptor, std::move(handler), { LargestControlBody, seconds(30) }), asio::detached);
+    spawn(shell, "serve_calls", serveHttp(*acceptor, std::move(handler), { LargestControlBody, seconds(30) }));
     return success(true);
 }
 
@@ -211,8 +211,8 @@
     if (!listening)
         return failure<bool>(listening.reason);
     shell.callerAcceptor = std::move(*listening);
-    asio::co_spawn(shell.context, acceptCallers(shell), asio::detached);
-    asio::co_spawn(shell.context, sweep(shell), asio::detached);
+    spawn(shell, "accept_callers", acceptCallers(shell));
+    spawn(shell, "sweep", sweep(shell));
     return success(true);
 }
 
--- a/src/serve/serve_effects.cpp
+++ b/src/serve/serve_effects.cpp
@@ -32,7 +32,7 @@
     attempt->command = effect;
     attempt->exchange = exchange;
     exchange->attempts[effect.attempt] = attempt;
-    asio::co_spawn(shell.context, runAttempt(shell, std::move(attempt)), asio::detached);
+    spawn(shell, "attempt", runAttempt(shell, std::move(attempt)));
 }
 
 /** Stops the wake timer and lets the writer of the connection send the response that is now decided. */
@@ -91,12 +91,9 @@
 
 static void execute(gate_shell& shell, const log_line& effect) { logEvent(effect.event, effect.fields, shell.clock.now()); }
 
-void processEvent(gate_shell& shell, gate_event event)
+/** Passes all queued events to the reducer and executes their effects. */
+static void processQueue(gate_shell& shell)
 {
-    shell.eventQueue.push_back(std::move(event));
-    if (shell.processingEvents)
-        return;
-    shell.processingEvents = true;
     gate_effects effects;
     while (!shell.eventQueue.empty()) {
         const auto next = std::move(shell.eventQueue.front());
@@ -106,9 +103,36 @@
         for (const auto& effect : effects)
             std::visit([&](const auto& typed) { execute(shell, typed); }, effect);
     }
+}
+
+void processEvent(gate_shell& shell, gate_event event)
+{
+    shell.eventQueue.push_back(std::move(event));
+    if (shell.processingEvents)
+        return;
+    shell.processingEvents = true;
+    try {
+        processQueue(shell);
+    } catch (...) {
+        shell.processingEvents = false; // Otherwise no later event would be processed.
+        throw;
+    }
     shell.processingEvents = false;
 }
 
+void spawn(gate_shell& shell, std::string_view task, asio::awaitable<void> work)
+{
+    asio::co_spawn(shell.context, std::move(work), [&shell, task = std::string(task)](const std::exception_ptr& error) {
+        if (!error)
+            return;
+        try {
+            std::rethrow_exception(error);
+        } catch (const std::exception& reason) {
+            logEvent("failed", { { "task", task }, { "reason", reason.what() } }, shell.clock.now());
+        }
+    });
+}
+
 gate_parameters identityOf(const gate_settings& settings)
 {
     gate_parameters self;
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -12,6 +12,9 @@
 
 asio::awaitable<void> pauseFor(milliseconds span);
 
+/** Runs a coroutine. An exception that ends it is logged with the name of the task. */
+void spawn(gate_shell& shell, std::string_view task, asio::awaitable<void> work);
+
 /** Sends the request to the endpoint, reads its response and tells the reducer how the attempt ended. */
 asio::awaitable<void> runAttempt(gate_shell& shell, std::shared_ptr<gate_attempt> attempt);
 
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -26,13 +26,10 @@
 }
 
 /** Calls @p step after RegisterRetryPause. */
-static void retryLater(gate_shell& shell, void (*step)(gate_shell&))
+static asio::awaitable<void> retryLater(gate_shell& shell, void (*step)(gate_shell&))
 {
-    auto coroutine = [&shell, step]() -> asio::awaitable<void> {
-        co_await pauseFor(RegisterRetryPause);
-        step(shell);
-    };
-    asio::co_spawn(shell.context, std::move(coroutine), asio::detached);
+    co_await pauseFor(RegisterRetryPause);
+    step(shell);
 }
 
 /**
@@ -49,7 +46,7 @@
     shell.store->call(request, [&shell](const store_reply& reply) {
         if (reply.result == store_result::Done) {
             logEvent("registered", { { "vm", shell.settings.vm }, { "revision", std::to_string(reply.object.version) } }, shell.clock.now());
-            asio::co_spawn(shell.context, listMembersIfAlone(shell), asio::detached);
+            spawn(shell, "list_members", listMembersIfAlone(shell));
             return;
         }
         if (reply.result == store_result::Conflict && reply.object.version > 0) {
@@ -57,7 +54,7 @@
             return;
         }
         logEvent("register_failed", { { "reason", reply.reason } }, shell.clock.now());
-        retryLater(shell, [](gate_shell& sameShell) { registerSelf(sameShell, 0); });
+        spawn(shell, "register", retryLater(shell, [](gate_shell& sameShell) { registerSelf(sameShell, 0); }));
     });
 }
 
@@ -69,7 +66,7 @@
     shell.store->call(request, [&shell](const store_reply& reply) {
         if (reply.result != store_result::Done) {
             logEvent("members_unread", { { "reason", reply.reason } }, shell.clock.now());
-            retryLater(shell, listMembers);
+            spawn(shell, "list_members", retryLater(shell, listMembers));
             return;
         }
         std::vector<member_record> claims;
@@ -165,8 +162,8 @@
         logEvent("gossip", { { "state", "unavailable" }, { "reason", error.message() } }, shell.clock.now());
         return;
     }
-    asio::co_spawn(shell.context, receiveClaims(shell, socket), asio::detached);
-    asio::co_spawn(shell.context, sendClaims(shell, socket), asio::detached);
+    spawn(shell, "receive_gossip", receiveClaims(shell, socket));
+    spawn(shell, "send_gossip", sendClaims(shell, socket));
 }
 
 } // namespace lhub
--- a/src/serve/serve_peer.cpp
+++ b/src/serve/serve_peer.cpp
@@ -399,7 +399,7 @@
         listMembers(shell);
     startWatches(shell);
     for (std::size_t sourceIndex = 0; sourceIndex < follow_settings {}.sources; ++sourceIndex)
-        asio::co_spawn(shell.context, followSource(shell, sourceIndex), asio::detached);
+        spawn(shell, "follow", followSource(shell, sourceIndex));
     while (true) {
         co_await pauseFor(FollowInterval);
         decideRole(shell);
--- a/src/serve/serve_watch.cpp
+++ b/src/serve/serve_watch.cpp
@@ -144,7 +144,7 @@
             processEvent(shell, endpoint_removed { id });
     };
     const auto wait = std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1);
-    asio::co_spawn(shell.context, removeAfterWait(shell, kind, item.key, id, wait), asio::detached);
+    spawn(shell, "remove_endpoint", removeAfterWait(shell, kind, item.key, id, wait));
 }
 
 /** Applies a changed or deleted endpoint. */
@@ -199,7 +199,7 @@
 void startWatches(gate_shell& shell)
 {
     for (const auto& kind : shell.watchedKinds)
-        asio::co_spawn(shell.context, watchKind(shell, kind), asio::detached);
+        spawn(shell, "watch", watchKind(shell, kind));
 }
 
 } // namespace lhub
--- a/tests/test_log.cpp
+++ b/tests/test_log.cpp
@@ -1,5 +1,6 @@
 /** @file test_log.cpp The log: its rate limit, and lines whose reader is slow, stalled or gone. */
 #include "log/log_func.h"
+#include "serve/serve_func.h"
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -145,3 +146,20 @@
     CHECK(logCounts().lost > 1000);
     pipe.ends[0] = ::open("/dev/null", O_RDONLY);
 }
+
+static asio::awaitable<void> throwAtOnce()
+{
+    throw std::runtime_error("a fault");
+    co_return;
+}
+
+// Guards against a graceful stop, or another task, that an exception ends without a trace.
+TEST_CASE("an exception that ends a task of the process is logged")
+{
+    log_pipe pipe;
+    asio::io_context context;
+    gate_shell shell(context, pipe.clock, {}, "", makeGate({}, 1));
+    spawn(shell, "stop", throwAtOnce());
+    context.run();
+    CHECK(readAll(pipe).find("event=failed task=stop reason=\"a fault\"") != std::string::npos);
+}
