Feature: The VMs of a region log whether another one stopped, was killed, or fell silent

When a VM's own log ends early, nothing else said whether its stop had begun: the record shows just a refused connection of a follower. Figures: test_gossip.cpp: a graceful stop shows not_serving, a kill only a new incarnation or silent. Before, no line.

--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -60,6 +60,23 @@
     return result;
 }
 
+std::vector<member_change> memberChanges(member_table& table, const gossip_settings& settings, time_point now)
+{
+    std::vector<member_change> changes;
+    for (auto& [name, member] : table.members) {
+        const bool known = name != table.self && member.heartbeatAt != time_point {};
+        if (!known || isInOtherRegion(table, member))
+            continue;
+        const auto state = member.record.serving ? member_state::Serving : member_state::NotServing;
+        const member_change seen { name, member.record.incarnation, isAlive(table, member, settings, now) ? state : member_state::Silent };
+        if (member.reported && member.reported->state == seen.state && member.reported->incarnation == seen.incarnation)
+            continue;
+        member.reported = seen;
+        changes.push_back(seen);
+    }
+    return changes;
+}
+
 /** Whether the member may be running. */
 static bool isRecent(const member_table& table, const gossip_member& member, const gossip_settings& settings, time_point now)
 {
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -29,6 +29,12 @@
  *  name. The pointers are valid until the table changes. Thread safe on a const object. */
 std::vector<const member_record*> recentMembers(const member_table& table, const gossip_settings& settings, time_point now);
 
+/**
+ * Changes of the other members of this VM's region since the last call. A VM that stops gracefully is seen as not serving before it is silent or
+ * starts anew; one that was killed is not. Not thread safe: records what it returns.
+ */
+std::vector<member_change> memberChanges(member_table& table, const gossip_settings& settings, time_point now);
+
 /** Live members, including this VM. The pointers are valid until the table changes. Thread safe on a const object. */
 std::vector<const member_record*> aliveMembers(const member_table& table, const gossip_settings& settings, time_point now);
 
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -1,10 +1,12 @@
 /** @file gossip_type.h Gossip membership of entry VMs. */
 #pragma once
 
+#include "core/name_table.h"
 #include "core/time_type.h"
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,10 +32,32 @@
     known_revisions knownRevisions; ///< Newest store revisions that it has seen.
 };
 
+/** What this VM sees of another member. */
+enum class member_state {
+    Serving, ///< It accepts callers.
+    NotServing, ///< It says that it accepts none: it starts or stops.
+    Silent, ///< It counts as dead.
+};
+
+/** Names of states in log lines. */
+inline constexpr std::array<name_row<member_state>, 3> MemberStateNames { {
+    { member_state::Serving, "serving" },
+    { member_state::NotServing, "not_serving" },
+    { member_state::Silent, "silent" },
+} };
+
+/** The state of a member, or the start that it belongs to, has changed. */
+struct member_change {
+    std::string vm; ///< Name of the VM.
+    std::uint64_t incarnation = 0; ///< See member_record.
+    member_state state = member_state::Serving;
+};
+
 /** Another member, or this VM itself, as this VM knows it. */
 struct gossip_member {
     member_record record; ///< Its newest known record.
     time_point heartbeatAt {}; ///< When it announced the newest heartbeat received by gossip: arrival here minus age. The epoch if it is only known from the store.
+    std::optional<member_change> reported {}; ///< What memberChanges() last returned of it.
 };
 
 /** All members that this VM knows, including itself. */
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -42,6 +42,32 @@
     CHECK(aliveCount(table, start + seconds(10) + Settings.otherRegionDeadAfter + milliseconds(1)) == 1);
 }
 
+// Guards against a stop that the logs of the other VMs cannot tell from a kill.
+TEST_CASE("gossip: a graceful stop of a VM is seen by the others of its region, and differs from a kill")
+{
+    auto table = tableFor("1", "a1");
+    const time_point start { seconds(100) };
+    const auto after = [&](seconds time) { return memberChanges(table, Settings, start + time); };
+    mergeMemberRecords(table, { recordOf("2", "a2", 7, 1) }, "2", start);
+    mergeMemberRecords(table, { recordOf("3", "a1", 7, 1) }, "3", start);
+    mergeMemberRecords(table, { recordOf("4", "b1", 7, 1) }, "4", start);
+    CHECK(after(seconds(0)).size() == 2); // The VM of another region is not among them.
+    CHECK(after(seconds(1)).empty());
+    mergeMemberRecords(table, { recordOf("2", "a2", 7, 2, false) }, "2", start + seconds(1));
+    const auto stopped = after(seconds(1));
+    REQUIRE(stopped.size() == 1);
+    CHECK(stopped[0].vm == "2");
+    CHECK(stopped[0].state == member_state::NotServing);
+    mergeMemberRecords(table, { recordOf("3", "a1", 8, 1) }, "3", start + seconds(2)); // Killed and started again.
+    const auto restarted = after(seconds(2));
+    REQUIRE(restarted.size() == 1);
+    CHECK(restarted[0].incarnation == 8);
+    CHECK(restarted[0].state == member_state::Serving);
+    const auto silent = after(seconds(10));
+    REQUIRE(silent.size() == 2);
+    CHECK(silent[0].state == member_state::Silent);
+}
+
 TEST_CASE("gossip: the member list in the store does not show that a member is alive")
 {
     auto table = tableFor("1", "a1");
