Fix: A VM that gets SIGTERM during its start stops gracefully

Cause: the handler was installed after the servers had been started, as the last step; until then SIGTERM had its default action. Class: a window between a resource and the handler that protects it. Change: main() blocks SIGTERM and SIGINT first; the signal set is made before anything else, then they are unblocked. A signal that came meanwhile begins a stop once the context runs. Evidence: `gate process: SIGTERM during the start ...` holds the process in the reading of its settings, sends SIGTERM, and lets it go on. Why it works: a blocked signal waits; only the time of the dynamic loader before main() remains.

--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -2,6 +2,7 @@
 #include "platform/settings.h"
 #include "serve/serve_func.h"
 #include <CLI/CLI.hpp>
+#include <array>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fstream>
@@ -12,8 +13,19 @@
 
 static constexpr int ExitBadSettings = 2; ///< The settings are wrong or name no usable store.
 static constexpr int ExitFailed = 1; ///< Listening at an address failed, or an exception ended the process.
+static constexpr std::array StopSignals { SIGTERM, SIGINT }; ///< Each begins a graceful stop.
 static constexpr milliseconds LogCloseTime { 100 }; ///< Longest wait for the reader of the log at the end of the process; within the rest of the grace time.
 
+/** Changes whether StopSignals are blocked. @param how SIG_BLOCK or SIG_UNBLOCK. */
+static void maskStopSignals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : StopSignals)
+        sigaddset(&signals, signal);
+    (void)::pthread_sigmask(how, &signals, nullptr); // Fails only for a wrong argument.
+}
+
 static outcome<gate_settings> readGateSettings(const std::string& path)
 {
     const std::ifstream input(path);
@@ -39,6 +51,8 @@
 static int runGate(const gate_settings& settings, const std::string& path)
 {
     asio::io_context context(1);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    maskStopSignals(SIG_UNBLOCK); // A signal that has arrived since main() waits in the set until the context runs.
     const system_clock_source clock;
     openLog();
     const auto incarnation = static_cast<std::uint64_t>(
@@ -60,7 +74,6 @@
     startGossip(shell);
     spawn(shell, "follow_store", followStore(shell));
     spawn(shell, "reload", reloadSettingsOnChange(shell));
-    asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& error, int) {
         if (!error)
             spawn(shell, "stop", stopGracefully(shell));
@@ -74,8 +87,9 @@
 
 int main(int argc, char** argv)
 {
-    // Done first, because a signal during the start must not end the process. SIGHUP is not needed to reload the settings:
+    // Done first, because a signal during the start must not end the process at once. SIGHUP is not needed to reload the settings:
     // their file is checked for changes all the time.
+    lhub::maskStopSignals(SIG_BLOCK);
     std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
     CLI::App app("laburnumhub entry VM on the platform: look-ups and forwarding in one process");
--- /dev/null
+++ b/tests/test_gate_process.cpp
@@ -0,0 +1,98 @@
+/** @file test_gate_process.cpp Tests of the program lhub-gate as a process: signals and its log. */
+#include "net/http_func.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace lhub;
+
+/** Settings of a VM whose store does not exist, with ports that are free at its IP. */
+static std::string makeSettings()
+{
+    static constexpr const char* Ip = "127.0.0.9";
+    asio::io_context context;
+    std::vector<tcp::acceptor> acceptors; // Kept open until all ports are chosen, so that they differ.
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 5; ++i) {
+        acceptors.emplace_back(context, tcp::endpoint(asio::ip::make_address(Ip), 0));
+        addresses.push_back(addressText(acceptors.back().local_endpoint()));
+    }
+    return boost::json::serialize(boost::json::value { { "vm", "vm1" }, { "ip", Ip }, { "zone", "a1" }, { "region", "a" }, { "zones", { { "a1", "a" } } },
+        { "callers", addresses[0] }, { "ready", addresses[1] }, { "lookups", addresses[2] }, { "peers", addresses[3] }, { "first_start", true },
+        { "gossip_port", acceptors[4].local_endpoint().port() }, { "store", addresses[4] }, { "max_descriptors", 1000 }, { "memory_mb", 100 }, { "bounds", { { "grace_s", 1 } } } });
+}
+
+/** A temporary directory, removed with its files. */
+struct temporary_directory {
+    std::filesystem::path path;
+
+    temporary_directory()
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "lhub-XXXXXX").string();
+        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+        path = pattern;
+    }
+    temporary_directory(const temporary_directory&) = delete;
+    temporary_directory& operator=(const temporary_directory&) = delete;
+    ~temporary_directory() { std::filesystem::remove_all(path); }
+};
+
+/** Starts lhub-gate with a settings file and a log file in a directory. @return its process id. */
+static pid_t startGateProcess(const std::filesystem::path& directory)
+{
+    std::string program(LHUB_GATE_PROGRAM);
+    std::string option("--settings");
+    auto settings = (directory / "settings").string();
+    const auto log = (directory / "log").string();
+    std::array<char*, 4> arguments { program.data(), option.data(), settings.data(), nullptr };
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    pid_t pid = 0;
+    REQUIRE(::posix_spawn(&pid, program.c_str(), &actions, nullptr, arguments.data(), environ) == 0);
+    posix_spawn_file_actions_destroy(&actions);
+    return pid;
+}
+
+static std::string readText(const std::filesystem::path& path)
+{
+    const std::ifstream input(path);
+    std::stringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+// Guards against a planned stop that ends the process at once because its signal arrives during the start.
+TEST_CASE("gate process: SIGTERM during the start begins a graceful stop")
+{
+    const temporary_directory directory;
+    const auto settings = directory.path / "settings";
+    REQUIRE(::mkfifo(settings.c_str(), 0600) == 0);
+    const auto text = makeSettings();
+    const auto pid = startGateProcess(directory.path);
+    {
+        std::ofstream pipe(settings); // Returns when the process has opened its settings, so before it is ready for anything.
+        ::kill(pid, SIGTERM);
+        std::ofstream(directory.path / "regular") << text; // The process reads its settings again later.
+        std::filesystem::rename(directory.path / "regular", settings);
+        pipe << text;
+    }
+    int status = 0;
+    REQUIRE(::waitpid(pid, &status, 0) == pid);
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 0);
+    const auto log = readText(directory.path / "log");
+    CHECK(log.find("event=stop ") != std::string::npos);
+    CHECK(log.find("event=stopped ") != std::string::npos);
+}
