--- a/src/log/log_type.h
+++ b/src/log/log_type.h
@@ -35,9 +35,9 @@
 };
 
 /** Most bytes of lines that wait while nobody reads the log: about half a minute of lines at the usual rate. */
-inline constexpr std::size_t MaxBacklogBytes = 512 * 1024;
+inline constexpr std::size_t MaxBacklogBytes = 524'288;
 /** Bytes of it that lines about requests leave to others. */
-inline constexpr std::size_t ProcessBacklogBytes = 64 * 1024;
+inline constexpr std::size_t ProcessBacklogBytes = 65'536;
 
 /** Lines that wait to be written, since the reader of the log is slower than the process. */
 struct log_backlog {
