Fix: A stop that wakes late writes the responses that are due before its process ends

Callers saw: a connection that ends without a response, although the endpoint's response, or a 502 or 503 of this VM, was due before, and grace time was left. Cause: when the process was paused or starved from before 0.88 of the grace time, by which each response must be known, until after 0.95 of it, the check of the stop ran before the timers of the requests, and its loop ended with their responses queued. Change: the process ends at a check that follows another one later than 0.88, so one check of 50 ms later in such a case. Evidence: `serve: a stop that wakes late ...` gets no byte without the change, and the 502 with it. Why it works: the pause lets all ready handlers run, the timers of the requests and the writes of their responses among them. A stop on time ends as before.

--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -20,7 +20,7 @@
 static constexpr double AcceptShare = 0.5;
 /** Share of the grace time by which the response to each request must be known; the rest is for writing it. */
 static constexpr double RespondShare = 0.88;
-/** Share of the grace time after which the process ends, even with connections open. */
+/** Share of the grace time after which the process ends, even with connections open, unless it was paused until then. */
 static constexpr double EndShare = 0.95;
 /** Time between two checks of the state of a graceful stop. */
 static constexpr milliseconds StopCheckInterval { 50 };
@@ -239,16 +239,20 @@
     logEvent("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "callers", std::to_string(openCallers(shell)) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, stopBegan);
     shell.stopping = true;
     processEvent(shell, stop_requested { afterShare(RespondShare) });
-    while (shell.clock.now() < afterShare(EndShare)) {
+    bool responsesWereDue = false; // At the check before.
+    bool ended = false;
+    while (!ended) {
         co_await pauseFor(StopCheckInterval);
         const auto now = shell.clock.now();
         if (now < afterShare(AcceptShare))
             continue;
         if (shell.callerAcceptor->is_open())
             acceptPendingAndClose(shell);
-        endIdleCallers(shell, now >= afterShare(RespondShare));
-        if (openCallers(shell) == 0)
-            break;
+        const bool responsesAreDue = now >= afterShare(RespondShare);
+        endIdleCallers(shell, responsesAreDue);
+        // A process that wakes late ends one check later, so that the responses that were due meanwhile are written.
+        ended = openCallers(shell) == 0 || (responsesWereDue && now >= afterShare(EndShare));
+        responsesWereDue = responsesAreDue;
     }
     logCutRequests(shell);
     logEvent("stopped", { { "open", std::to_string(shell.exchanges.size()) }, { "callers", std::to_string(openCallers(shell)) }, { "after_ms", std::to_string(elapsed(stopBegan, shell.clock.now()).count()) } }, shell.clock.now());
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -690,6 +690,26 @@
     CHECK(openCallers(*rig->gate) == 0);
 }
 
+// Guards against a process that was paused or starved near the end of its grace time and ends before it writes the responses that are due.
+TEST_CASE("serve: a stop that wakes late writes the responses that are due before the process ends")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->work = seconds(10);
+    rig->gate->settings.bounds.stopGrace = seconds(2);
+    tcp::socket kept(rig->context);
+    kept.connect(rig->gate->callerAcceptor->local_endpoint());
+    asio::write(kept, asio::buffer(postRequest("/write/x", "open", "b")));
+    runUntil(*rig, [&] { return runCount(*rig, "open") == 1; });
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
+    runUntil(*rig, [&] { return rig->gate->stopping; });
+    const auto began = rig->clock.now();
+    runUntil(*rig, [&] { return rig->clock.now() >= began + milliseconds(1600); });
+    std::this_thread::sleep_for(milliseconds(380)); // The response is due at 1,760 ms, the end at 1,900 ms.
+    error_code error;
+    const auto received = receivedAfterStop(*rig, kept, error);
+    CHECK(received.find("HTTP/1.1 502") == 0);
+}
+
 /** Publishes version 2 of the configuration, with @p from replaced by @p to, and waits until the entry VM applies it. */
 static void changeConfig(serve_rig& rig, const std::string& from, const std::string& to)
 {
