Change: At the end of a stop the log waits for its reader as long as the grace time allows, and its first and last lines are never dropped

Change: after all sockets are closed the log waits until 0.98 of the grace time; `start`, `stop` and `stopped` take no token and have a part of the room; rejected connections are limited like requests. Conclusion: a stop whose log is read within its grace time has `stop` and `stopped` in it.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -13,8 +13,10 @@
 
 namespace lhub {
 
-/** Events whose lines are about one request; all others are about the process. */
-static constexpr std::array<std::string_view, 7> RequestEvents { "send", "attempt", "done", "answer", "caller_gone", "forecast_missed", "bad_request" };
+/** Events whose lines are about one request or connection. */
+static constexpr std::array<std::string_view, 8> RequestEvents { "send", "attempt", "done", "answer", "caller_gone", "caller_rejected", "forecast_missed", "bad_request" };
+/** Events whose lines are about the start or the end of the process. */
+static constexpr std::array<std::string_view, 3> LifecycleEvents { "start", "stop", "stopped" };
 
 namespace {
 
@@ -65,6 +67,8 @@
         bucket.tokens = std::min(LogBurstLines, bucket.tokens + elapsedSeconds * LogLinesPerSecond);
     }
     bucket.refilledAt = now;
+    if (subject == log_subject::Lifecycle)
+        return true;
     const double reserved = subject == log_subject::Request ? ProcessLineTokens : 0;
     if (bucket.tokens < 1 + reserved)
         return false;
@@ -74,14 +78,28 @@
 
 log_subject subjectOf(std::string_view event)
 {
-    const bool isRequest = std::find(RequestEvents.begin(), RequestEvents.end(), event) != RequestEvents.end();
-    return isRequest ? log_subject::Request : log_subject::Process;
+    const auto isOneOf = [&](const auto& events) { return std::find(events.begin(), events.end(), event) != events.end(); };
+    if (isOneOf(RequestEvents))
+        return log_subject::Request;
+    return isOneOf(LifecycleEvents) ? log_subject::Lifecycle : log_subject::Process;
+}
+
+/** Bytes of the backlog that lines about @p subject leave to others. */
+static std::size_t reservedBytes(log_subject subject)
+{
+    switch (subject) {
+    case log_subject::Request:
+        return ProcessBacklogBytes;
+    case log_subject::Process:
+        return LifecycleBacklogBytes;
+    default:
+        return 0;
+    }
 }
 
 bool addLine(log_backlog& backlog, log_subject subject, std::string_view line)
 {
-    const auto reserved = subject == log_subject::Request ? ProcessBacklogBytes : 0;
-    if (backlog.bytes + line.size() + reserved > MaxBacklogBytes)
+    if (backlog.bytes + line.size() + reservedBytes(subject) > MaxBacklogBytes)
         return false;
     backlog.lines.emplace_back(line);
     backlog.bytes += line.size();
@@ -185,16 +203,16 @@
     log.counts.lost += writeBacklog(log.backlog, log.descriptor);
 }
 
-void closeLog(const clock_source& clock, milliseconds limit)
+void closeLog(const clock_source& clock, time_point until)
 {
     auto& log = processLog();
-    const auto until = clock.now() + limit;
     flushLog();
-    auto left = limit;
     pollfd waiting { log.descriptor, POLLOUT, 0 };
-    while (!log.backlog.lines.empty() && left.count() > 0 && ::poll(&waiting, 1, static_cast<int>(left.count())) > 0) {
+    for (auto left = elapsed(clock.now(), until); !log.backlog.lines.empty() && left.count() > 0; left = elapsed(clock.now(), until)) {
+        // An interrupted wait begins anew.
+        if (::poll(&waiting, 1, static_cast<int>(left.count())) < 0 && errno != EINTR)
+            break;
         flushLog();
-        left = elapsed(clock.now(), until);
     }
     log.logger.reset();
 }
--- a/src/log/log_func.h
+++ b/src/log/log_func.h
@@ -37,8 +37,8 @@
 /** Writes lines that wait since the descriptor was full. Call it regularly: otherwise only the next line writes them. */
 void flushLog();
 
-/** Writes the lines that wait, for at most @p limit; the only function of the log that blocks. Later lines are discarded without being counted. */
-void closeLog(const clock_source& clock, milliseconds limit);
+/** Writes the lines that wait, until @p until; the only function of the log that blocks. Later lines are discarded without being counted. */
+void closeLog(const clock_source& clock, time_point until);
 
 const log_counts& logCounts();
 
--- a/src/log/log_type.h
+++ b/src/log/log_type.h
@@ -10,8 +10,9 @@
 
 /** What a line is about. Lines about requests leave a part of each limit to the others, which are few and say what became of the process. */
 enum class log_subject {
-    Request, ///< One request: sent, answered, an attempt that failed.
+    Request, ///< One request or one connection: sent, answered, an attempt that failed.
     Process, ///< This process, and what it knows of others.
+    Lifecycle, ///< The start and the end of this process; not subject to the limit on the rate.
 };
 
 /** Lines since the start of the process. */
@@ -39,6 +40,9 @@
 /** Bytes of it that lines about requests leave to others. */
 inline constexpr std::size_t ProcessBacklogBytes = 65'536;
 
+/** Bytes of it that lines about the process leave to those about its start and end. */
+inline constexpr std::size_t LifecycleBacklogBytes = 4096;
+
 /** Lines that wait to be written, since the reader of the log is slower than the process. */
 struct log_backlog {
     std::deque<std::string> lines; ///< Oldest first, each with its line break.
--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -14,7 +14,7 @@
 static constexpr int ExitBadSettings = 2; ///< The settings are wrong or name no usable store.
 static constexpr int ExitFailed = 1; ///< Listening at an address failed, or an exception ended the process.
 static constexpr std::array StopSignals { SIGTERM, SIGINT }; ///< Each begins a graceful stop.
-static constexpr milliseconds LogCloseTime { 100 }; ///< Longest wait for the reader of the log at the end of the process; within the rest of the grace time.
+static constexpr milliseconds LogCloseTime { 100 }; ///< Longest wait for the reader of the log when the process ends without a graceful stop.
 
 /** Changes whether StopSignals are blocked. @param how SIG_BLOCK or SIG_UNBLOCK. */
 static void maskStopSignals(int how)
@@ -48,13 +48,12 @@
     }
 }
 
-static int runGate(const gate_settings& settings, const std::string& path)
+/** Serves until a graceful stop has ended. @param logUntil set to gate_shell::logUntil at the end. @return exit code. */
+static int serveUntilStopped(const gate_settings& settings, const std::string& path, const clock_source& clock, time_point& logUntil)
 {
     asio::io_context context(1);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     maskStopSignals(SIG_UNBLOCK); // A signal that has arrived since main() waits in the set until the context runs.
-    const system_clock_source clock;
-    openLog();
     const auto incarnation = static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     gate_shell shell(context, clock, settings, path, makeGate(identityOf(settings), incarnation));
@@ -79,10 +78,20 @@
             spawn(shell, "stop", stopGracefully(shell));
     });
     const bool ended = runToEnd(context, clock);
-    closeLog(clock, LogCloseTime);
+    logUntil = shell.logUntil;
     return ended ? 0 : ExitFailed;
 }
 
+static int runGate(const gate_settings& settings, const std::string& path)
+{
+    const system_clock_source clock;
+    openLog();
+    time_point logUntil {};
+    const int exitCode = serveUntilStopped(settings, path, clock, logUntil);
+    closeLog(clock, std::max(logUntil, clock.now() + LogCloseTime)); // All sockets are closed: nobody else waits for this.
+    return exitCode;
+}
+
 } // namespace lhub
 
 int main(int argc, char** argv)
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -22,6 +22,8 @@
 static constexpr double RespondShare = 0.88;
 /** Share of the grace time after which the process ends, even with connections open, unless it was paused until then. */
 static constexpr double EndShare = 0.95;
+/** Share of the grace time until which the process waits for the reader of its log, after all else has ended. */
+static constexpr double LogShare = 0.98;
 /** Time between two checks of the state of a graceful stop. */
 static constexpr milliseconds StopCheckInterval { 50 };
 
@@ -238,6 +240,7 @@
     };
     logEvent("stop", { { "open", std::to_string(shell.exchanges.size()) }, { "callers", std::to_string(openCallers(shell)) }, { "grace_ms", std::to_string(milliseconds(grace).count()) } }, stopBegan);
     shell.stopping = true;
+    shell.logUntil = afterShare(LogShare);
     processEvent(shell, stop_requested { afterShare(RespondShare) });
     bool responsesWereDue = false; // At the check before.
     bool ended = false;
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -192,6 +192,7 @@
     std::optional<tcp::acceptor> lookupAcceptor; ///< For look-ups.
     std::optional<tcp::acceptor> metricsAcceptor; ///< For metrics.
     bool stopping = false; ///< A graceful stop began.
+    time_point logUntil {}; ///< Until when the end of the process may wait for the reader of the log; the epoch before a graceful stop.
 
     gate_shell(asio::io_context& context, const clock_source& clock, gate_settings settings, std::string settingsFile, gate_state state)
         : context(context)
--- a/tests/test_gate_process.cpp
+++ b/tests/test_gate_process.cpp
@@ -13,12 +13,19 @@
 #include <sstream>
 #include <sys/stat.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace lhub;
 
+/** Settings of a VM. */
+struct process_settings {
+    std::string text; ///< Content of the settings file.
+    tcp::endpoint callers; ///< Where it serves callers.
+};
+
 /** Settings of a VM whose store does not exist, with ports that are free at its IP. */
-static std::string makeSettings()
+static process_settings makeSettings(int graceSeconds)
 {
     static constexpr const char* Ip = "127.0.0.9";
     asio::io_context context;
@@ -28,9 +35,10 @@
         acceptors.emplace_back(context, tcp::endpoint(asio::ip::make_address(Ip), 0));
         addresses.push_back(addressText(acceptors.back().local_endpoint()));
     }
-    return boost::json::serialize(boost::json::value { { "vm", "vm1" }, { "ip", Ip }, { "zone", "a1" }, { "region", "a" }, { "zones", { { "a1", "a" } } },
+    auto text = boost::json::serialize(boost::json::value { { "vm", "vm1" }, { "ip", Ip }, { "zone", "a1" }, { "region", "a" }, { "zones", { { "a1", "a" } } },
         { "callers", addresses[0] }, { "ready", addresses[1] }, { "lookups", addresses[2] }, { "peers", addresses[3] }, { "first_start", true },
-        { "gossip_port", acceptors[4].local_endpoint().port() }, { "store", addresses[4] }, { "max_descriptors", 1000 }, { "memory_mb", 100 }, { "bounds", { { "grace_s", 1 } } } });
+        { "gossip_port", acceptors[4].local_endpoint().port() }, { "store", addresses[4] }, { "max_descriptors", 1000 }, { "memory_mb", 100 }, { "bounds", { { "grace_s", graceSeconds } } } });
+    return { std::move(text), acceptors[0].local_endpoint() };
 }
 
 /** A temporary directory, removed with its files. */
@@ -79,7 +87,7 @@
     const temporary_directory directory;
     const auto settings = directory.path / "settings";
     REQUIRE(::mkfifo(settings.c_str(), 0600) == 0);
-    const auto text = makeSettings();
+    const auto text = makeSettings(1).text;
     const auto pid = startGateProcess(directory.path);
     {
         std::ofstream pipe(settings); // Returns when the process has opened its settings, so before it is ready for anything.
@@ -96,3 +104,44 @@
     CHECK(log.find("event=stop ") != std::string::npos);
     CHECK(log.find("event=stopped ") != std::string::npos);
 }
+
+/** Waits until a port accepts connections, or until it does not. */
+static void awaitListening(const tcp::endpoint& port, bool listening)
+{
+    asio::io_context context;
+    boost::system::error_code error;
+    do {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        tcp::socket(context).connect(port, error);
+    } while ((!error) != listening);
+}
+
+// Guards against a stop whose lines are lost because the reader of the log stalls at that moment.
+TEST_CASE("gate process: the lines of a stop wait for a reader of the log that comes within the grace time")
+{
+    const temporary_directory directory;
+    const auto settings = makeSettings(4);
+    std::ofstream(directory.path / "settings") << settings.text;
+    REQUIRE(::mkfifo((directory.path / "log").c_str(), 0600) == 0);
+    const int log = ::open((directory.path / "log").c_str(), O_RDWR | O_NONBLOCK);
+    REQUIRE(::fcntl(log, F_SETPIPE_SZ, 4096) > 0);
+    std::array<char, 4096> part {};
+    REQUIRE(::write(log, part.data(), part.size()) == static_cast<ssize_t>(part.size())); // The pipe is full.
+    const auto pid = startGateProcess(directory.path);
+    awaitListening(settings.callers, true);
+    ::kill(pid, SIGTERM);
+    awaitListening(settings.callers, false); // At half of the grace time, when the stop ends.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    std::string text;
+    int status = 0;
+    while (::waitpid(pid, &status, WNOHANG) == 0) {
+        const auto size = ::read(log, part.data(), part.size());
+        text.append(part.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    }
+    for (auto size = ::read(log, part.data(), part.size()); size > 0; size = ::read(log, part.data(), part.size()))
+        text.append(part.data(), static_cast<std::size_t>(size));
+    ::close(log);
+    CHECK(WIFEXITED(status));
+    CHECK(text.find("event=start ") != std::string::npos);
+    CHECK(text.find("event=stopped ") != std::string::npos);
+}
--- a/tests/test_log.cpp
+++ b/tests/test_log.cpp
@@ -42,9 +42,11 @@
 
 TEST_CASE("the lines of a stop count as lines about the process, those of a request do not")
 {
-    for (const auto* event : { "stop", "stopped", "cut_by_stop", "ready", "start" })
+    for (const auto* event : { "start", "stop", "stopped" })
+        CHECK(subjectOf(event) == log_subject::Lifecycle);
+    for (const auto* event : { "cut_by_stop", "ready", "member" })
         CHECK(subjectOf(event) == log_subject::Process);
-    for (const auto* event : { "send", "done", "answer", "attempt" })
+    for (const auto* event : { "send", "done", "answer", "attempt", "caller_rejected" })
         CHECK(subjectOf(event) == log_subject::Request);
 }
 
@@ -65,7 +67,7 @@
     log_pipe& operator=(const log_pipe&) = delete;
     ~log_pipe()
     {
-        closeLog(clock, milliseconds(0));
+        closeLog(clock, clock.now());
         ::close(ends[0]);
         ::close(ends[1]);
     }
@@ -137,6 +139,18 @@
     CHECK(text.find("lines_lost_before=" + std::to_string(lost)) != std::string::npos);
 }
 
+// Guards against a stop without its last line, as when it cuts off more requests than the rate of the log allows lines.
+TEST_CASE("the line of the end of a stop is written however many requests it cuts off")
+{
+    log_pipe pipe;
+    for (int i = 0; i < 600; ++i)
+        logEvent("send", { { "id", std::to_string(i) } }, pipe.clock.present);
+    for (int i = 0; i < 150; ++i)
+        logEvent("cut_by_stop", { { "id", std::to_string(i) } }, pipe.clock.present);
+    logEvent("stopped", {}, pipe.clock.present);
+    CHECK(readAll(pipe).find("event=stopped lines_dropped_before=") != std::string::npos);
+}
+
 TEST_CASE("lines that wait when the reader of the log ends are counted as lost")
 {
     log_pipe pipe;
