Fix: A VM that was paused itself no longer logs the other VMs of its region as silent

On-call saw: after a pause of a VM its own log blamed all others of the region (`event=member state=silent`), then took it back. Cause: the heartbeats are old because this VM has read none. Class: a measurement of others by a clock that has run on while this process did not. Evidence: `gossip: a VM that was paused itself ...` fails with the condition switched off.

--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -60,23 +60,6 @@
     return result;
 }
 
-std::vector<member_change> memberChanges(member_table& table, const gossip_settings& settings, time_point now)
-{
-    std::vector<member_change> changes;
-    for (auto& [name, member] : table.members) {
-        const bool known = name != table.self && member.heartbeatAt != time_point {};
-        if (!known || isInOtherRegion(table, member))
-            continue;
-        const auto state = member.record.serving ? member_state::Serving : member_state::NotServing;
-        const member_change seen { name, member.record.incarnation, isAlive(table, member, settings, now) ? state : member_state::Silent };
-        if (member.reported && member.reported->state == seen.state && member.reported->incarnation == seen.incarnation)
-            continue;
-        member.reported = seen;
-        changes.push_back(seen);
-    }
-    return changes;
-}
-
 /** Whether the member may be running. */
 static bool isRecent(const member_table& table, const gossip_member& member, const gossip_settings& settings, time_point now)
 {
@@ -113,6 +96,25 @@
     return trust;
 }
 
+std::vector<member_change> memberChanges(member_table& table, const gossip_settings& settings, time_point now)
+{
+    std::vector<member_change> changes;
+    if (!trustOf(table, settings, now).settled) // After a pause of this VM the others seem silent.
+        return changes;
+    for (auto& [name, member] : table.members) {
+        const bool known = name != table.self && member.heartbeatAt != time_point {};
+        if (!known || isInOtherRegion(table, member))
+            continue;
+        const auto state = member.record.serving ? member_state::Serving : member_state::NotServing;
+        const member_change seen { name, member.record.incarnation, isAlive(table, member, settings, now) ? state : member_state::Silent };
+        if (member.reported && member.reported->state == seen.state && member.reported->incarnation == seen.incarnation)
+            continue;
+        member.reported = seen;
+        changes.push_back(seen);
+    }
+    return changes;
+}
+
 /** Members with their sort keys; the order is pseudo-random and differs between rounds and between VMs. */
 using shuffled_members = std::vector<std::pair<std::uint64_t, const gossip_member*>>;
 
