Fix: A stop waits for an order whose caller has left

Operators saw: an order that may not be repeated, whose caller had left, was cut off at its endpoint by the end of the process at half of the grace time, although it is carried on otherwise. Cause: the stop ended as soon as no connection of a caller was open; work without one was not counted. Change: the stop also waits for attempts whose caller has left and that have not ended, up to the same end as before. Evidence: `serve: a stop waits for an order whose caller has left` fails without the change (the attempt has not ended) and passes with it. Why it works: such an attempt ends with its response, or is cancelled a second after its deadline; both end the wait.

--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -231,6 +231,12 @@
     }
 }
 
+/** Whether an endpoint is at work on a request that must not be repeated and whose caller has left. */
+static bool hasOrphanedWork(const gate_shell& shell)
+{
+    return std::any_of(shell.orphanedAttempts.begin(), shell.orphanedAttempts.end(), [](const auto& attempt) { return !attempt->endReported; });
+}
+
 asio::awaitable<void> stopGracefully(gate_shell& shell)
 {
     const auto stopBegan = shell.clock.now();
@@ -254,7 +260,8 @@
         const bool responsesAreDue = now >= afterShare(RespondShare);
         endIdleCallers(shell, responsesAreDue);
         // A process that wakes late ends one check later, so that the responses that were due meanwhile are written.
-        ended = openCallers(shell) == 0 || (responsesWereDue && now >= afterShare(EndShare));
+        const bool nothingOpen = openCallers(shell) == 0 && !hasOrphanedWork(shell);
+        ended = nothingOpen || (responsesWereDue && now >= afterShare(EndShare));
         responsesWereDue = responsesAreDue;
     }
     logCutRequests(shell);
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -710,6 +710,26 @@
     CHECK(received.find("HTTP/1.1 502") == 0);
 }
 
+// Guards against orders that the end of a stop cuts off at their endpoint because their caller has left.
+TEST_CASE("serve: a stop waits for an order whose caller has left")
+{
+    auto rig = makeRig(1);
+    rig->endpoints[0]->work = milliseconds(2500);
+    rig->gate->settings.bounds.stopGrace = seconds(4);
+    std::string sent = postRequest("/write/x", "order", "b");
+    const auto caller = connectCaller(*rig);
+    sendBytes(*caller, sent);
+    runUntil(*rig, [&] { return runCount(*rig, "order") == 1; });
+    caller->socket.close();
+    runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
+    REQUIRE(rig->gate->orphanedAttempts.size() == 1);
+    const auto order = rig->gate->orphanedAttempts.front();
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
+    rig->context.run();
+    CHECK(order->endReported);
+    CHECK_FALSE(order->cancelled);
+}
+
 /** Publishes version 2 of the configuration, with @p from replaced by @p to, and waits until the entry VM applies it. */
 static void changeConfig(serve_rig& rig, const std::string& from, const std::string& to)
 {
