Fix: At the limit on callers' connections, one whose request is arriving is no longer closed for a new one

Callers saw: a connection closed without a response while they sent the body of a request. Cause: "idle" meant an empty queue and an empty buffer, which also holds while the parser waits for the rest of a body; and such a connection is preferred, since its time-out is shorter than that of an idle one. Class: two definitions of idle; the stop had the right one. Change: isReceiving() decides, as in a stop. Evidence: `serve: at the limit on callers' connections, one whose request body is arriving ...` fails without the change: the one with the body is closed, the idle one stays. Why it works: a connection with bytes reserved, buffered or in the kernel is not chosen. A request that was taken from the kernel in the same turn of the event loop may still be closed; by reading, not seen.

--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -224,8 +224,8 @@
     caller_pointer longestIdle;
     for (const auto& weak : shell.callers) {
         const auto caller = weak.lock();
-        const bool idle = caller && caller->socket.is_open() && caller->queue.empty() && caller->buffer.size() == 0;
-        if (idle && (!longestIdle || caller->readTimeoutAt < longestIdle->readTimeoutAt))
+        const bool open = caller && caller->socket.is_open() && caller->queue.empty();
+        if (open && (!longestIdle || caller->readTimeoutAt < longestIdle->readTimeoutAt) && !isReceiving(*caller))
             longestIdle = caller;
     }
     if (!longestIdle)
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -806,6 +806,27 @@
     CHECK_FALSE(third->closed);
 }
 
+// Guards against requests whose connection is closed for a new caller while their body arrives.
+TEST_CASE("serve: at the limit on callers' connections, one whose request body is arriving is not closed")
+{
+    auto rig = makeRig(1);
+    rig->gate->resourceLimits.callerConnections = 2;
+    const auto writer = connectCaller(*rig);
+    sendBytes(*writer, "POST /write/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: w\r\nContent-Length: 10\r\n\r\nhello");
+    runUntil(*rig, [&] { return rig->gate->bodyBytes == 10; });
+    const auto idle = connectCaller(*rig);
+    sendBytes(*idle, getRequest("/read/x", "a"));
+    awaitResponses(*rig, *idle, 1);
+    const auto third = connectCaller(*rig);
+    sendBytes(*third, getRequest("/read/x", "c"));
+    awaitResponses(*rig, *third, 1);
+    CHECK(idle->closed);
+    REQUIRE_FALSE(writer->closed);
+    sendBytes(*writer, "world");
+    awaitResponses(*rig, *writer, 1);
+    CHECK(writer->received.find("HTTP/1.1 200") == 0);
+}
+
 TEST_CASE("serve: a body beyond the limit on body bytes is refused with Retry-After, and reserved bytes are released")
 {
     auto rig = makeRig(1);
