--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 namespace lhub::soak {
@@ -60,8 +61,29 @@
     state.context.stop();
 }
 
+/** What a soak prints and keeps. */
+struct output_options {
+    bool verbose = false; ///< Prints each step of the plan and every violation.
+    bool keep = false; ///< Keeps logs without violations, too, and writes the requests.
+};
+
+/** Writes one line for each request; times in milliseconds. The stop is empty when its VM had not got SIGTERM by the end of the request. */
+static void writeRequests(const soak_state& state)
+{
+    std::ofstream file(state.settings.directory + "/requests.csv");
+    file << "id,habit,vm,start,sent_at,ended_at,status,runs,stop_at\n";
+    for (const auto& request : state.record.requests) {
+        const auto runs = state.record.runs.find(request.id);
+        const auto stop = state.record.stops.find({ request.gate, request.gateStart });
+        const bool stopped = stop != state.record.stops.end() && stop->second <= request.endedAt;
+        file << request.id << "," << nameOf(HabitNames, request.habit) << "," << request.gate << "," << request.gateStart << "," << request.sentAt.count() << ","
+             << request.endedAt.count() << "," << request.status << "," << (runs == state.record.runs.end() ? 0 : runs->second) << ","
+             << (stopped ? std::to_string(stop->second.count()) : "") << "\n";
+    }
+}
+
 /** Runs the soak of one seed. @return whether no guarantee was violated. */
-static bool runSeed(const soak_settings& settings, const soak_bounds& bounds, bool verbose)
+static bool runSeed(const soak_settings& settings, const soak_bounds& bounds, const output_options& options)
 {
     soak_state state;
     state.settings = settings;
@@ -74,7 +96,7 @@
     if (!built)
         state.record.processFailures.push_back(built.reason);
     if (built) {
-        asio::co_spawn(state.context, runSoak(state, verbose), asio::detached);
+        asio::co_spawn(state.context, runSoak(state, options.verbose), asio::detached);
         state.context.run();
     }
     endProcesses(state);
@@ -84,9 +106,11 @@
         served += request.status == 200 ? 1 : 0;
     std::cout << "seed " << settings.seed << ": " << state.record.plan.size() << " steps, " << state.record.requests.size() << " requests, " << served
               << " served, " << violations.size() << " guarantees violated" << std::endl;
-    for (std::size_t i = 0; i < violations.size() && i < 10; ++i)
+    for (std::size_t i = 0; i < violations.size() && (options.verbose || i < 10); ++i)
         std::cout << "  " << violations[i] << "\n";
-    if (violations.empty())
+    if (options.keep)
+        writeRequests(state);
+    if (violations.empty() && !options.keep)
         std::filesystem::remove_all(state.settings.directory);
     else
         std::cout << "  logs: " << state.settings.directory << "\n";
@@ -102,19 +126,20 @@
     lhub::soak::soak_bounds bounds;
     std::vector<std::uint64_t> seeds { 1 };
     unsigned duration = 20;
-    bool verbose = false;
+    lhub::soak::output_options options;
     settings.directory = "build/soak";
     app.add_option("--program", settings.program, "path of lhub-gate");
     app.add_option("--seeds", seeds, "seeds of the runs, one after the other");
     app.add_option("--seconds", duration, "duration of the traffic in seconds")->check(CLI::Range(3, 600));
     std::string scenario(lhub::nameOf(lhub::soak::ScenarioNames, settings.scenario));
-    app.add_option("--scenario", scenario, "faults, or planned: planned operations only, slow endpoints, idle connections")->check(CLI::IsMember({ "faults", "planned" }));
+    app.add_option("--scenario", scenario, "faults, or planned: planned operations only, slow endpoints, idle connections, or habits: stops in turn, callers with the users' habits")->check(CLI::IsMember({ "faults", "planned", "habits" }));
     app.add_option("--gates", settings.gates, "processes of lhub-gate")->check(CLI::Range(1, 300));
     app.add_option("--endpoints", settings.endpoints, "endpoints")->check(CLI::Range(3, 200));
     app.add_option("--callers", settings.callers, "callers")->check(CLI::Range(1, 500));
     app.add_option("--directory", settings.directory, "directory for settings and logs");
     app.add_flag("--timed,!--no-timed", bounds.checkTiming, "also check time limits; not on a busy machine, which delays everything");
-    app.add_flag("--verbose", verbose, "print each step of the plan");
+    app.add_flag("--verbose", options.verbose, "print each step of the plan and every violation");
+    app.add_flag("--keep", options.keep, "keep the logs of seeds without violations, too, and write all requests to requests.csv beside them");
     CLI11_PARSE(app, argc, argv);
     settings.duration = std::chrono::seconds(duration);
     for (const auto& row : lhub::soak::ScenarioNames)
@@ -122,7 +147,7 @@
     bool allPassed = true;
     for (const auto seed : seeds) {
         settings.seed = seed;
-        allPassed = lhub::soak::runSeed(settings, bounds, verbose) && allPassed;
+        allPassed = lhub::soak::runSeed(settings, bounds, options) && allPassed;
     }
     return allPassed ? 0 : 1;
 }
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -3,6 +3,7 @@
 #include "platform/standin/operator_standin.h"
 #include "soak/soak_world.h"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <sys/socket.h>
@@ -17,6 +18,8 @@
 static constexpr unsigned MaxPipelined = 4; ///< Most requests sent before the first response is read.
 static constexpr milliseconds MaxIdle { 8000 }; ///< Longest time that a caller keeps an idle connection in the scenario of planned operations.
 static constexpr milliseconds LookupKeepTime { 6000 }; ///< Longest time that a caller uses the response of a look-up in that scenario; three lifetimes.
+static constexpr std::size_t PoolSize = 16; ///< Connections that a caller of orders keeps in the scenario of habits.
+static constexpr milliseconds MaxHabitPause { 1000 }; ///< Longest pause between two exchanges in that scenario.
 static constexpr unsigned MaxExchangesPerConnection = 12; ///< Most exchanges, of one or more pipelined requests, before a caller opens a new connection.
 
 /** Index of the VM with an IP; 0 when there is none. */
@@ -77,13 +80,42 @@
     record.wrong = success && (!facts.fromEndpoint || response.body().rfind(record.id, 0) != 0);
 }
 
+/** A request of a caller with a habit. */
+static http_request makeHabitRequest(const habit_demand& demand, std::mt19937_64& random, request_record& record)
+{
+    http_request request(demand.repeatable ? http::verb::get : http::verb::post, "/" + std::string(demand.service) + "/" + std::to_string(random() % 50), 11);
+    if (!demand.repeatable)
+        request.body() = std::string(1 + random() % 2000, 'b');
+    record.repeatable = demand.repeatable;
+    record.habit = demand.habit;
+    request.set(http::field::host, "soak");
+    platform::addCaller(request, record.id, demand.deadline, std::to_string(random() % 50));
+    request.prepare_payload();
+    return request;
+}
+
+/** A connection of a caller to a VM. */
+struct caller_connection {
+    explicit caller_connection(soak_state& state)
+        : stream(state.context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer; ///< Bytes received and not yet parsed.
+    std::size_t gate = 0; ///< Index of the VM.
+    unsigned gateStart = 0; ///< Number of starts of that VM when the connection was opened.
+    unsigned caller = 0; ///< Number of the caller.
+};
+
 /**
- * Sends one request, or in a quarter of the cases up to MaxPipelined, and reads the responses.
+ * Sends up to @p count requests and reads the responses.
+ * @param demand what to ask for; null for random requests.
  * @return whether the connection can be used again.
  */
-static asio::awaitable<bool> exchangeRequests(soak_state& state, beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t gate, unsigned gateStart, unsigned caller, std::mt19937_64& random)
+static asio::awaitable<bool> exchangeRequests(soak_state& state, caller_connection& connection, const habit_demand* demand, unsigned count, std::mt19937_64& random)
 {
-    const unsigned count = random() % 4 == 0 ? 1 + random() % MaxPipelined : 1;
+    auto& [stream, buffer, gate, gateStart, caller] = connection;
     std::vector<std::size_t> sent;
     error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -94,7 +126,7 @@
         record.gate = static_cast<unsigned>(gate);
         record.gateStart = gateStart;
         record.sentAt = sinceTrafficStart(state);
-        const auto request = makeRequest(state, random, record);
+        const auto request = demand ? makeHabitRequest(*demand, random, record) : makeRequest(state, random, record);
         sent.push_back(state.record.requests.size());
         const bool alone = !record.repeatable;
         record.alone = count == 1;
@@ -134,27 +166,133 @@
     return milliseconds(random() % (keepsIdle ? MaxIdle.count() : 40));
 }
 
+/** Opens a connection to a VM. @return null when that failed. */
+static asio::awaitable<std::unique_ptr<caller_connection>> openConnection(soak_state& state, std::size_t gate, unsigned number)
+{
+    auto connection = std::make_unique<caller_connection>(state);
+    connection->gate = gate;
+    connection->gateStart = state.gates[gate].starts;
+    connection->caller = number;
+    error_code error;
+    connection->stream.expires_after(LookupTimeout);
+    co_await connection->stream.async_connect(tcp::endpoint(asio::ip::make_address(state.gates[gate].ip), state.callerPort), asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return nullptr;
+    co_return connection;
+}
+
 /** Uses one connection until the VM closes it, also while the VM is stopping. @return whether a connection was made. */
 static asio::awaitable<bool> useConnection(soak_state& state, std::size_t gate, unsigned number, std::mt19937_64& random)
 {
-    const auto gateStart = state.gates[gate].starts;
-    beast::tcp_stream stream(state.context);
-    error_code error;
-    stream.expires_after(LookupTimeout);
-    co_await stream.async_connect(tcp::endpoint(asio::ip::make_address(state.gates[gate].ip), state.callerPort), asio::redirect_error(asio::use_awaitable, error));
-    beast::flat_buffer buffer;
-    bool reusable = !error;
+    const auto connection = co_await openConnection(state, gate, number);
+    bool reusable = connection != nullptr;
     for (unsigned i = 0; reusable && i < MaxExchangesPerConnection && !state.trafficEnded; ++i) {
-        reusable = co_await exchangeRequests(state, stream, buffer, gate, gateStart, number, random);
+        const unsigned count = random() % 4 == 0 ? 1 + random() % MaxPipelined : 1;
+        reusable = co_await exchangeRequests(state, *connection, nullptr, count, random);
         co_await sleepFor(pauseBetweenRequests(state, random));
         // After a long pause a caller looks whether the VM has ended the connection.
-        reusable = reusable && (state.settings.scenario == soak_scenario::Faults || isOpenAndSilent(stream));
+        reusable = reusable && (state.settings.scenario == soak_scenario::Faults || isOpenAndSilent(connection->stream));
+    }
+    co_return connection != nullptr;
+}
+
+/** A caller with a habit. */
+struct habit_caller {
+    unsigned number = 0;
+    std::mt19937_64 random;
+    std::optional<std::size_t> gate; ///< VM of the newest look-up.
+    milliseconds lookedUpAt { 0 }; ///< Time of that look-up since the start of the traffic.
+    std::vector<std::unique_ptr<caller_connection>> pool; ///< Kept connections.
+};
+
+/** Opens a connection to the VM of the newest look-up, or of a new one when that has expired. @return null when that failed. */
+static asio::awaitable<std::unique_ptr<caller_connection>> openByLookup(soak_state& state, habit_caller& caller)
+{
+    static constexpr milliseconds Lifetime { 2000 };
+    const auto keepTime = caller.number % 5 == 0 ? LookupKeepTime : Lifetime;
+    if (!caller.gate || sinceTrafficStart(state) - caller.lookedUpAt >= keepTime) {
+        caller.gate = co_await lookUp(state, caller.random);
+        caller.lookedUpAt = sinceTrafficStart(state);
+    }
+    if (!caller.gate)
+        co_return nullptr;
+    auto connection = co_await openConnection(state, *caller.gate, caller.number);
+    if (!connection)
+        caller.gate.reset();
+    co_return connection;
+}
+
+/** Fills the pool, with a look-up for each connection. */
+static asio::awaitable<void> fillPool(soak_state& state, habit_caller& caller)
+{
+    for (std::size_t i = 0; i < PoolSize; ++i) {
+        caller.gate.reset();
+        auto connection = co_await openByLookup(state, caller);
+        if (connection)
+            caller.pool.push_back(std::move(connection));
+    }
+}
+
+/** Takes a random connection from the pool when that is full, or opens one. @return null when that failed. */
+static asio::awaitable<std::unique_ptr<caller_connection>> takeFromPool(soak_state& state, habit_caller& caller)
+{
+    auto& pool = caller.pool;
+    if (pool.size() < PoolSize) {
+        auto connection = co_await openByLookup(state, caller);
+        co_return connection;
+    }
+    std::swap(pool[caller.random() % pool.size()], pool.back());
+    auto connection = std::move(pool.back());
+    pool.pop_back();
+    co_return connection;
+}
+
+/** One exchange of a caller with a habit. @return whether there was a connection for it. */
+static asio::awaitable<bool> exchangeByHabit(soak_state& state, habit_caller& caller)
+{
+    auto& pool = caller.pool;
+    pool.erase(std::remove_if(pool.begin(), pool.end(), [](const auto& each) { return !isOpenAndSilent(each->stream); }), pool.end());
+    const auto& demand = demandOfCaller(caller.number);
+    const bool fresh = demand.habit == caller_habit::FreshDownloads;
+    const bool pipelined = demand.habit == caller_habit::PipelinedRecords;
+    auto connection = pipelined && !pool.empty() ? std::move(pool.back()) : nullptr;
+    if (connection)
+        pool.pop_back();
+    else if (demand.habit == caller_habit::PooledOrders)
+        connection = co_await takeFromPool(state, caller);
+    else
+        connection = co_await openByLookup(state, caller);
+    if (!connection)
+        co_return false;
+    const unsigned count = pipelined ? 1 + caller.random() % MaxPipelined : 1;
+    const bool reusable = co_await exchangeRequests(state, *connection, &demand, count, caller.random);
+    if (reusable && !fresh)
+        pool.push_back(std::move(connection));
+    co_return true;
+}
+
+/** Exchanges by the habit of a caller until the traffic ends. */
+static asio::awaitable<void> runHabitCaller(soak_state& state, unsigned number)
+{
+    static constexpr milliseconds PauseAfterFailure { 50 };
+    habit_caller caller;
+    caller.number = number;
+    caller.random.seed(state.settings.seed * 1000 + number);
+    if (demandOfCaller(number).habit == caller_habit::PooledOrders)
+        co_await fillPool(state, caller);
+    while (!state.trafficEnded) {
+        const bool connected = co_await exchangeByHabit(state, caller);
+        const auto pause = connected ? milliseconds(caller.random() % MaxHabitPause.count()) : PauseAfterFailure;
+        co_await sleepFor(pause);
     }
-    co_return !error;
 }
 
 asio::awaitable<void> runCaller(soak_state& state, unsigned number)
 {
+    if (state.settings.scenario == soak_scenario::Habits) {
+        co_await runHabitCaller(state, number);
+        co_return;
+    }
     std::mt19937_64 random(state.settings.seed * 1000 + number);
     static constexpr milliseconds Pause { 50 };
     std::optional<std::size_t> gate;
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -82,13 +82,19 @@
     return ", sent " + std::to_string((request.sentAt - found->second).count()) + " ms and cut " + std::to_string((request.endedAt - found->second).count()) + " ms after SIGTERM";
 }
 
+/** The habit of the caller of a request, for messages; empty in scenarios without habits. */
+static std::string habitText(const request_record& request)
+{
+    return request.habit == caller_habit::Any ? "" : " (" + std::string(nameOf(HabitNames, request.habit)) + ")";
+}
+
 /** While no unplanned step is near, every request that ran gets a response. */
 static void checkLostResponses(const soak_record& record, const soak_bounds& bounds, std::vector<std::string>& violations)
 {
     for (const auto& request : record.requests) {
         const bool lost = request.status == 0 && !request.wrong && request.endedAt.count() > 0 && runsOf(record, request.id) > 0;
         if (lost && isCalm(record.plan, request.sentAt, request.endedAt, bounds.stabilityTime))
-            violations.push_back("lost: " + request.id + " ran and got no response from VM " + std::to_string(request.gate) + " at " + std::to_string(request.sentAt.count()) + " ms" + timeSinceStop(record, request));
+            violations.push_back("lost: " + request.id + habitText(request) + " ran and got no response from VM " + std::to_string(request.gate) + " at " + std::to_string(request.sentAt.count()) + " ms" + timeSinceStop(record, request));
     }
 }
 
@@ -97,7 +103,7 @@
 {
     for (const auto& request : record.requests) {
         if (request.alone && request.status == 0 && request.endedAt.count() > 0 && runsOf(record, request.id) == 0)
-            violations.push_back("crossed: " + request.id + " got no response from VM " + std::to_string(request.gate) + " and did not run" + timeSinceStop(record, request));
+            violations.push_back("crossed: " + request.id + habitText(request) + " got no response from VM " + std::to_string(request.gate) + " and did not run" + timeSinceStop(record, request));
     }
 }
 
@@ -124,7 +130,7 @@
     checkRetries(record, bounds, violations);
     checkRecovery(record, violations);
     // A stop cuts nobody off, however slow the machine is: without faults this does not depend on times.
-    const bool planned = record.scenario == soak_scenario::Planned;
+    const bool planned = isPlannedOnly(record.scenario);
     if (planned || bounds.checkTiming)
         checkLostResponses(record, bounds, violations);
     if (planned)
--- a/soak/soak_check.h
+++ b/soak/soak_check.h
@@ -1,6 +1,7 @@
 /** @file soak_check.h Checks the guarantees against what callers and endpoints observed. */
 #pragma once
 
+#include "soak/soak_habit.h"
 #include "soak/soak_plan.h"
 #include <map>
 #include <string>
@@ -11,6 +12,7 @@
 struct request_record {
     std::string id; ///< Unique in the soak.
     bool repeatable = true; ///< Whether it may run more than once.
+    caller_habit habit = caller_habit::Any; ///< Of its caller.
     unsigned gate = 0; ///< Index of the VM that it was sent to.
     unsigned gateStart = 0; ///< Number of starts of that VM when the connection was opened.
     unsigned configVersion = 0; ///< Configuration version whose route the request uses; 0 for requests to routes that every version has.
--- a/soak/soak_plan.cpp
+++ b/soak/soak_plan.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+/** Stops of VMs in turn, one in each of equal parts of the time up to @p until. */
+static std::vector<soak_step> planStops(std::mt19937_64& random, milliseconds until)
+{
+    static constexpr unsigned Stops = 6;
+    const auto part = until / Stops;
+    const auto first = static_cast<unsigned>(random() >> 40);
+    std::vector<soak_step> plan;
+    for (unsigned i = 0; i < Stops; ++i) {
+        const milliseconds offset { std::uniform_int_distribution<milliseconds::rep>(0, part.count() - 1)(random) };
+        plan.push_back({ part * i + offset, step_kind::StopGate, first + i, 0, milliseconds(0) });
+    }
+    return plan;
+}
+
 std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration, soak_scenario scenario)
 {
     std::mt19937_64 random(seed);
@@ -41,8 +55,10 @@
         const auto any = static_cast<step_kind>(between(0, static_cast<int>(StepNames.size()) - 1));
         return misbehaves ? step_kind::EndpointMisbehaves : any;
     };
-    std::vector<soak_step> plan;
     const auto until = duration * 2 / 3;
+    if (scenario == soak_scenario::Habits)
+        return planStops(random, until);
+    std::vector<soak_step> plan;
     milliseconds at { between(500, 1500) };
     while (at < until) {
         // A series: several steps shortly after one another, of the same kind or of random kinds.
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -65,17 +65,22 @@
 enum class soak_scenario {
     Faults, ///< Faults and planned operations; fast endpoints and busy connections.
     Planned, ///< Planned operations only, most of them stops; endpoints are as slow as the users' and callers keep idle connections.
+    Habits, ///< Stops of VMs in turn only, some overlapping; callers have the users' habits, see soak_habit.h.
 };
 
 /** Names of scenarios on the command line. */
-inline constexpr std::array<name_row<soak_scenario>, 2> ScenarioNames { {
+inline constexpr std::array<name_row<soak_scenario>, 3> ScenarioNames { {
     { soak_scenario::Faults, "faults" },
     { soak_scenario::Planned, "planned" },
+    { soak_scenario::Habits, "habits" },
 } };
 
 /** Whether operators or platforms do this on purpose; no request may lose its response by it. Thread safe. */
 bool isPlanned(step_kind kind);
 
+/** Whether a scenario consists of planned steps only. Thread safe. */
+inline bool isPlannedOnly(soak_scenario scenario) { return scenario != soak_scenario::Faults; }
+
 /** The steps of a soak, in order. Steps come in series and overlap; none begins in the last third of @p duration. Thread safe. */
 std::vector<soak_step> planSoak(std::uint64_t seed, milliseconds duration, soak_scenario scenario = soak_scenario::Faults);
 
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -86,23 +86,36 @@
     return success(true);
 }
 
-/** A route of the only host, soak, to the only service, s. */
-static route routeOf(const std::string& name, const std::string& prefix, bool repeatable)
+/** A route of the only host, soak. */
+static route routeOf(const std::string& name, const std::string& prefix, bool repeatable, milliseconds timeout = milliseconds(2000), const std::string& service = "s")
 {
     route result;
     result.name = name;
     result.host = "soak";
     result.prefix = prefix;
     result.repeatable = repeatable;
-    result.timeout = milliseconds(2000);
+    result.timeout = timeout;
     result.objective = milliseconds(400);
     result.maxAttempts = 2;
     result.priority = 1;
     result.affinity = true;
-    result.targets = { { "s", 1 } };
+    result.targets = { { service, 1 } };
     return result;
 }
 
+/** Configuration of the scenario of habits: a route and a service for each of them. */
+static route_config habitConfigOf(unsigned version)
+{
+    route_config config;
+    config.version = version;
+    for (const auto& demand : HabitDemands) {
+        const std::string service(demand.service);
+        config.routes.push_back(routeOf(service, "/" + service + "/", demand.repeatable, demand.deadline, service));
+        config.services[service] = { service, 300, milliseconds(0), 0 };
+    }
+    return config;
+}
+
 /** Configuration of a version, with a route that only this version has. */
 static route_config configOf(unsigned version)
 {
@@ -113,16 +126,20 @@
     return config;
 }
 
-void publishConfig(soak_state& state) { putObject(*state.store, "config", "main", platform::encodeConfig(configOf(state.configVersion))); }
+void publishConfig(soak_state& state)
+{
+    const bool habits = state.settings.scenario == soak_scenario::Habits;
+    putObject(*state.store, "config", "main", platform::encodeConfig(habits ? habitConfigOf(state.configVersion) : configOf(state.configVersion)));
+}
 
 static endpoint_registration entryOf(const soak_endpoint& endpoint)
 {
     endpoint_registration entry;
     entry.id = endpoint.standin->id;
-    entry.service = "s";
+    entry.service = endpoint.service;
     entry.zone = endpoint.zone;
     entry.address = addressText(endpoint.proxy->acceptor->local_endpoint());
-    entry.slots = 3;
+    entry.slots = endpoint.slots;
     entry.leaving = endpoint.leaving;
     entry.startUnixMs = 1;
     return entry;
@@ -134,6 +151,17 @@
     putObject(*state.store, "servers", endpoint.standin->id, platform::encodeEntry(entryOf(endpoint)));
 }
 
+/** Assigns an endpoint to one of the habits, so that each has endpoints in all zones. */
+static void serveHabit(soak_endpoint& endpoint, std::size_t number)
+{
+    static constexpr unsigned Slots = 60;
+    const auto& demand = HabitDemands[number / Zones.size() % HabitDemands.size()];
+    endpoint.service = demand.service;
+    endpoint.slots = Slots;
+    endpoint.standin->work = demand.work;
+    endpoint.standin->answerBytes = demand.answerBytes;
+}
+
 void addEndpoint(soak_state& state)
 {
     soak_endpoint endpoint;
@@ -145,6 +173,8 @@
     const bool slow = state.settings.scenario == soak_scenario::Planned;
     endpoint.standin->work = slow ? milliseconds(300 + 150 * (number % 7)) : milliseconds(10 + 5 * (number % 4));
     endpoint.standin->answerBytes = number % 4 == 0 ? 200'000 : 400;
+    if (state.settings.scenario == soak_scenario::Habits)
+        serveHabit(endpoint, number);
     endpoint.zone = Zones[number % Zones.size()].first;
     endpoint.acceptor = std::make_unique<tcp::acceptor>(state.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     endpoint.proxy = makeProxy(state, endpoint.acceptor->local_endpoint(), "127.0.0.1");
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -31,6 +31,8 @@
     std::unique_ptr<tcp::acceptor> acceptor; ///< Of the server.
     std::shared_ptr<loopback_proxy> proxy; ///< Its address is the one that is registered in the store.
     std::string zone;
+    std::string service = "s";
+    unsigned slots = 3; ///< Requests that it runs at the same time.
     bool leaving = false; ///< It drains or has been removed.
 };
 
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -121,6 +121,38 @@
     }
 }
 
+TEST_CASE("soak: a plan for callers with habits stops six VMs in turn, some while another one stops")
+{
+    static constexpr milliseconds StopTime { 6000 };
+    for (std::uint64_t seed = 1; seed < 50; ++seed) {
+        const auto plan = planSoak(seed, milliseconds(20'000), soak_scenario::Habits);
+        REQUIRE(plan.size() == 6);
+        bool overlap = false;
+        for (std::size_t i = 0; i < plan.size(); ++i) {
+            CHECK(plan[i].kind == step_kind::StopGate);
+            CHECK(plan[i].target == plan[0].target + i);
+            CHECK(plan[i].at * 3 < milliseconds(20'000) * 2);
+            overlap = overlap || (i > 0 && plan[i].at - plan[i - 1].at < StopTime);
+        }
+        CHECK(overlap);
+    }
+}
+
+TEST_CASE("soak: the lost request of a caller with a habit is reported with the habit, on a busy machine, too")
+{
+    soak_bounds untimed;
+    untimed.checkTiming = false;
+    auto record = recordWithoutViolations();
+    record.scenario = soak_scenario::Habits;
+    record.requests[101].habit = caller_habit::PooledOrders;
+    record.requests[101].status = 0;
+    const auto violations = checkSoak(record, untimed);
+    CHECK(hasOnly(violations, "lost: r101 (order) "));
+    record.runs.erase("r101");
+    record.requests[101].alone = true;
+    CHECK(hasOnly(checkSoak(record, untimed), "crossed: r101 (order) "));
+}
+
 TEST_CASE("soak: the same seed gives the same plan, in which no step begins in the last third")
 {
     const milliseconds duration { 30'000 };
