--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -233,14 +233,17 @@
     }
 }
 
-/** Takes a random connection from the pool when that is full, or opens one. @return null when that failed. */
+/** Adds a connection to the pool when that is not full, then takes a random one. @return null when there is none. */
 static asio::awaitable<std::unique_ptr<caller_connection>> takeFromPool(soak_state& state, habit_caller& caller)
 {
     auto& pool = caller.pool;
     if (pool.size() < PoolSize) {
-        auto connection = co_await openByLookup(state, caller);
-        co_return connection;
+        auto added = co_await openByLookup(state, caller);
+        if (added)
+            pool.push_back(std::move(added));
     }
+    if (pool.empty())
+        co_return nullptr;
     std::swap(pool[caller.random() % pool.size()], pool.back());
     auto connection = std::move(pool.back());
     pool.pop_back();
