Fix: A stop uses the grace time that the settings file has when its signal arrives

Callers saw: requests cut off by SIGKILL after a grace time that had been shortened less than a second before SIGTERM. Cause: the file is read once a second, and the stop took the value of the last reading. Class: a decision that does not know its own deadline. Change: a stop reads the file again before anything else. Evidence: `gate process: a stop uses the grace time ...`: the log has grace_ms=1000 after a change right before the signal. Why it works: SIGTERM follows the change of the file, so the file has the value that counts.

--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -218,6 +218,43 @@
     return success(true);
 }
 
+static std::string readFile(const std::string& path)
+{
+    const std::ifstream input(path);
+    std::stringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+/** Reads the settings file, and applies it if its text has changed. A file that cannot be read or is wrong changes nothing. */
+static void reloadSettings(gate_shell& shell)
+{
+    auto text = readFile(shell.settingsFile);
+    if (text == shell.settingsText || text.empty())
+        return;
+    shell.settingsText = std::move(text);
+    auto settings = platform::decodeSettings(shell.settingsFile, shell.settingsText);
+    if (!settings) {
+        logEvent("reload", { { "outcome", "rejected" }, { "reason", settings.reason } }, shell.clock.now());
+        return;
+    }
+    shell.settings.bounds = settings->bounds;
+    shell.settings.seeds = settings->seeds;
+    shell.settings.regionOfZone = settings->regionOfZone;
+    shell.state.self = identityOf(shell.settings);
+    shell.state.members.regionOfZone = shell.settings.regionOfZone;
+    logEvent("reload", { { "outcome", "in force" } }, shell.clock.now());
+}
+
+asio::awaitable<void> reloadSettingsOnChange(gate_shell& shell)
+{
+    shell.settingsText = readFile(shell.settingsFile);
+    while (true) {
+        co_await pauseFor(SettingsPollInterval);
+        reloadSettings(shell);
+    }
+}
+
 /** Logs each request that the end of the process cuts off. */
 static void logCutRequests(const gate_shell& shell)
 {
@@ -239,6 +276,7 @@
 
 asio::awaitable<void> stopGracefully(gate_shell& shell)
 {
+    reloadSettings(shell); // The grace time may have changed shortly before the signal.
     const auto stopBegan = shell.clock.now();
     const auto grace = shell.settings.bounds.stopGrace;
     const auto afterShare = [&](double share) {
@@ -269,35 +307,4 @@
     shell.context.stop();
 }
 
-static std::string readFile(const std::string& path)
-{
-    const std::ifstream input(path);
-    std::stringstream text;
-    text << input.rdbuf();
-    return text.str();
-}
-
-asio::awaitable<void> reloadSettingsOnChange(gate_shell& shell)
-{
-    auto lastText = readFile(shell.settingsFile);
-    while (true) {
-        co_await pauseFor(SettingsPollInterval);
-        auto text = readFile(shell.settingsFile);
-        if (text == lastText || text.empty())
-            continue;
-        lastText = std::move(text);
-        auto settings = platform::decodeSettings(shell.settingsFile, lastText);
-        if (!settings) {
-            logEvent("reload", { { "outcome", "rejected" }, { "reason", settings.reason } }, shell.clock.now());
-            continue;
-        }
-        shell.settings.bounds = settings->bounds;
-        shell.settings.seeds = settings->seeds;
-        shell.settings.regionOfZone = settings->regionOfZone;
-        shell.state.self = identityOf(shell.settings);
-        shell.state.members.regionOfZone = shell.settings.regionOfZone;
-        logEvent("reload", { { "outcome", "in force" } }, shell.clock.now());
-    }
-}
-
 } // namespace lhub
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -161,6 +161,7 @@
     const clock_source& clock;
     gate_settings settings; ///< In force; reloaded by reloadSettingsOnChange().
     std::string settingsFile; ///< Path of the settings file; empty in tests.
+    std::string settingsText; ///< Its content when it was last read.
     gate_state state; ///< State of the reducer.
     std::deque<gate_event> eventQueue; ///< Events that wait for the reducer; more may be added while effects are executed.
     bool processingEvents = false; ///< processEvent() is running.
--- a/tests/test_gate_process.cpp
+++ b/tests/test_gate_process.cpp
@@ -145,3 +145,21 @@
     CHECK(text.find("event=start ") != std::string::npos);
     CHECK(text.find("event=stopped ") != std::string::npos);
 }
+
+// Guards against a stop that outlasts a grace time that was shortened just before.
+TEST_CASE("gate process: a stop uses the grace time that the settings file has when its signal arrives")
+{
+    const temporary_directory directory;
+    auto settings = makeSettings(60);
+    std::ofstream(directory.path / "settings") << settings.text;
+    const auto pid = startGateProcess(directory.path);
+    awaitListening(settings.callers, true);
+    settings.text.replace(settings.text.find("\"grace_s\":60"), 12, "\"grace_s\":1");
+    std::ofstream(directory.path / "changed") << settings.text;
+    std::filesystem::rename(directory.path / "changed", directory.path / "settings");
+    ::kill(pid, SIGTERM);
+    int status = 0;
+    REQUIRE(::waitpid(pid, &status, 0) == pid);
+    CHECK(WIFEXITED(status));
+    CHECK(readText(directory.path / "log").find("grace_ms=1000") != std::string::npos);
+}
