Fix: The grace time of a stop whose signal is handled late counts from its arrival

Callers saw: requests passed on and cut off by SIGKILL when the process was paused or starved as SIGTERM arrived. Cause: the stop measured its shares of the grace time from the moment at which it handled the signal. Class: a decision that does not know its own deadline. Change: a signal that is handled now may have arrived any time after the last check of all connections, which comes every 250 ms; the grace time counts from there. Why it works: the process was alive at that check and has not handled the signal then. A stop on time begins at most 250 ms early in its count.

--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -183,6 +183,7 @@
 static asio::awaitable<void> sweep(gate_shell& shell)
 {
     while (true) {
+        shell.sweptAt = shell.clock.now();
         co_await pauseFor(SweepInterval);
         sweepCallers(shell);
         sweepIdleConnections(shell);
@@ -274,10 +275,17 @@
     return std::any_of(shell.orphanedAttempts.begin(), shell.orphanedAttempts.end(), [](const auto& attempt) { return !attempt->endReported; });
 }
 
+/** When a signal that is handled now may have arrived: a process that was paused or starved handles it late, and the grace time runs from its arrival. */
+static time_point earliestSignalTime(const gate_shell& shell)
+{
+    const auto now = shell.clock.now();
+    return shell.sweptAt == time_point {} ? now : std::min(now, shell.sweptAt + SweepInterval);
+}
+
 asio::awaitable<void> stopGracefully(gate_shell& shell)
 {
     reloadSettings(shell); // The grace time may have changed shortly before the signal.
-    const auto stopBegan = shell.clock.now();
+    const auto stopBegan = earliestSignalTime(shell);
     const auto grace = shell.settings.bounds.stopGrace;
     const auto afterShare = [&](double share) {
         return stopBegan + std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace) * share);
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -710,6 +710,20 @@
     CHECK(received.find("HTTP/1.1 502") == 0);
 }
 
+// Guards against a stop that lasts beyond its SIGKILL because the process was paused when SIGTERM arrived.
+TEST_CASE("serve: the grace time of a stop whose signal is handled late counts from its arrival")
+{
+    auto rig = makeRig(1);
+    runUntil(*rig, [&] { return rig->gate->sweptAt != time_point {}; });
+    rig->gate->settings.bounds.stopGrace = seconds(3);
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
+    const auto pausedAt = rig->clock.now();
+    std::this_thread::sleep_for(milliseconds(1000));
+    runUntil(*rig, [&] { return rig->gate->stopping; });
+    // The last sign of life was before the pause, and comes every 250 ms; responses are due at 0.88 of the grace time.
+    CHECK(rig->gate->state.respondUntil <= pausedAt + milliseconds(250 + 2640));
+}
+
 // Guards against orders that the end of a stop cuts off at their endpoint because their caller has left.
 TEST_CASE("serve: a stop waits for an order whose caller has left")
 {
