--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -105,8 +105,8 @@
         const bool known = name != table.self && member.heartbeatAt != time_point {};
         if (!known || isInOtherRegion(table, member))
             continue;
-        const auto state = member.record.serving ? member_state::Serving : member_state::NotServing;
-        const member_change seen { name, member.record.incarnation, isAlive(table, member, settings, now) ? state : member_state::Silent };
+        const auto state = member.record.serving ? member_status::Serving : member_status::NotServing;
+        const member_change seen { name, member.record.incarnation, isAlive(table, member, settings, now) ? state : member_status::Silent };
         if (member.reported && member.reported->state == seen.state && member.reported->incarnation == seen.incarnation)
             continue;
         member.reported = seen;
--- a/src/gossip/gossip_func.h
+++ b/src/gossip/gossip_func.h
@@ -31,7 +31,7 @@
 
 /**
  * Changes of the other members of this VM's region since the last call. A VM that stops gracefully is seen as not serving before it is silent or
- * starts anew; one that was killed is not. Nothing while the view is not settled (view_trust). Not thread safe: records what it returns.
+ * starts anew, unless its stop is shorter than a round or two; one that was killed while it served is not. Nothing while the view is not settled (view_trust). Not thread safe: records what it returns.
  */
 std::vector<member_change> memberChanges(member_table& table, const gossip_settings& settings, time_point now);
 
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -33,24 +33,24 @@
 };
 
 /** What this VM sees of another member. */
-enum class member_state {
+enum class member_status {
     Serving, ///< It accepts callers.
     NotServing, ///< It says that it accepts none: it starts or stops.
     Silent, ///< It counts as dead.
 };
 
 /** Names of states in log lines. */
-inline constexpr std::array<name_row<member_state>, 3> MemberStateNames { {
-    { member_state::Serving, "serving" },
-    { member_state::NotServing, "not_serving" },
-    { member_state::Silent, "silent" },
+inline constexpr std::array<name_row<member_status>, 3> MemberStatusNames { {
+    { member_status::Serving, "serving" },
+    { member_status::NotServing, "not_serving" },
+    { member_status::Silent, "silent" },
 } };
 
-/** The state of a member, or the start that it belongs to, has changed. */
+/** The state or the incarnation of a member has changed. */
 struct member_change {
     std::string vm; ///< Name of the VM.
     std::uint64_t incarnation = 0; ///< See member_record.
-    member_state state = member_state::Serving;
+    member_status state = member_status::Serving;
 };
 
 /** Another member, or this VM itself, as this VM knows it. */
--- a/src/serve/serve_gossip.cpp
+++ b/src/serve/serve_gossip.cpp
@@ -131,7 +131,7 @@
         const auto now = shell.clock.now();
         const auto messages = nextGossipMessages(shell.state.members, shell.state.gossip, now);
         for (const auto& change : memberChanges(shell.state.members, shell.state.gossip, now))
-            logEvent("member", { { "vm", change.vm }, { "state", std::string(nameOf(MemberStateNames, change.state)) }, { "incarnation", std::to_string(change.incarnation) } }, now);
+            logEvent("member", { { "vm", change.vm }, { "state", std::string(nameOf(MemberStatusNames, change.state)) }, { "incarnation", std::to_string(change.incarnation) } }, now);
         auto targets = nextGossipTargets(shell.state.members, shell.state.gossip, now);
         if (targets.sameRegion.size() + targets.otherRegions.size() < shell.state.gossip.fanout) {
             for (const auto& seed : shell.settings.seeds)
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -61,15 +61,15 @@
     const auto stopped = after(seconds(1));
     REQUIRE(stopped.size() == 1);
     CHECK(stopped[0].vm == "2");
-    CHECK(stopped[0].state == member_state::NotServing);
+    CHECK(stopped[0].state == member_status::NotServing);
     mergeMemberRecords(table, { recordOf("3", "a1", 8, 1) }, "3", start + seconds(2)); // Killed and started again.
     const auto restarted = after(seconds(2));
     REQUIRE(restarted.size() == 1);
     CHECK(restarted[0].incarnation == 8);
-    CHECK(restarted[0].state == member_state::Serving);
+    CHECK(restarted[0].state == member_status::Serving);
     const auto silent = after(seconds(10));
     REQUIRE(silent.size() == 2);
-    CHECK(silent[0].state == member_state::Silent);
+    CHECK(silent[0].state == member_status::Silent);
 }
 
 // Guards against log lines that blame the other VMs for a pause of this one.
