Fix: At the limit on callers' connections, those that have ended are closed before those that are kept

Callers saw: a kept idle connection closed for a new one, while others only waited for their caller to close them. Cause: since the time left of a connection that has ended stands in lingerUntil, and the choice looked at readTimeoutAt alone. Class: an end that looks at one kind of open work and not at the other. Change: the earlier of both decides. Evidence: `serve: at the limit on callers' connections, one that has ended ...` fails without the change: the kept one is closed. Why it works: a connection that has ended has at most a second left, a kept one the idle time.

--- a/src/serve/serve_caller.cpp
+++ b/src/serve/serve_caller.cpp
@@ -218,14 +218,17 @@
     return callers.size();
 }
 
-/** Closes the connection that has been idle for longest, to admit a new caller. @return false when none is idle. */
+/** When an idle connection, or one whose last response is written, will be closed unless its caller does something. */
+static time_point idleUntil(const caller_connection& caller) { return std::min(caller.readTimeoutAt, caller.lingerUntil); }
+
+/** Closes the connection that has the least idle time left, to admit a new caller. @return false when none is idle. */
 static bool evictLongestIdleCaller(gate_shell& shell)
 {
     caller_pointer longestIdle;
     for (const auto& weak : shell.callers) {
         const auto caller = weak.lock();
         const bool open = caller && caller->socket.is_open() && caller->queue.empty();
-        if (open && (!longestIdle || caller->readTimeoutAt < longestIdle->readTimeoutAt) && !isReceiving(*caller))
+        if (open && (!longestIdle || idleUntil(*caller) < idleUntil(*longestIdle)) && !isReceiving(*caller))
             longestIdle = caller;
     }
     if (!longestIdle)
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -728,11 +728,10 @@
 TEST_CASE("serve: a stop waits for an order whose caller has left")
 {
     auto rig = makeRig(1);
-    rig->endpoints[0]->work = milliseconds(2500);
-    rig->gate->settings.bounds.stopGrace = seconds(4);
-    std::string sent = postRequest("/write/x", "order", "b");
+    rig->endpoints[0]->work = milliseconds(1800); // Longer than half of the grace time, after which a stop without open work ends.
+    rig->gate->settings.bounds.stopGrace = seconds(3);
     const auto caller = connectCaller(*rig);
-    sendBytes(*caller, sent);
+    sendBytes(*caller, postRequest("/write/x", "order", "b"));
     runUntil(*rig, [&] { return runCount(*rig, "order") == 1; });
     caller->socket.close();
     runUntil(*rig, [&] { return rig->gate->exchanges.empty(); });
@@ -820,6 +819,24 @@
     CHECK_FALSE(third->closed);
 }
 
+// Guards against kept connections that are closed for a new caller while others only wait for their caller to close them.
+TEST_CASE("serve: at the limit on callers' connections, one that has ended is closed before one that is kept")
+{
+    auto rig = makeRig(1);
+    rig->gate->resourceLimits.callerConnections = 2;
+    const auto kept = connectCaller(*rig);
+    sendBytes(*kept, getRequest("/read/x", "a"));
+    awaitResponses(*rig, *kept, 1);
+    const auto finished = connectCaller(*rig);
+    sendBytes(*finished, getRequest("/read/x", "b", "Connection: close\r\n"));
+    runUntil(*rig, [&] { return finished->closed; });
+    const auto third = connectCaller(*rig);
+    sendBytes(*third, getRequest("/read/x", "c"));
+    awaitResponses(*rig, *third, 1);
+    CHECK(third->received.find("HTTP/1.1 200") == 0);
+    CHECK_FALSE(kept->closed);
+}
+
 // Guards against requests whose connection is closed for a new caller while their body arrives.
 TEST_CASE("serve: at the limit on callers' connections, one whose request body is arriving is not closed")
 {
