Fix: A second signal while the log waits for its reader no longer ends the process

Operators saw: a stop whose last lines are missing and whose process ended by a signal. Cause: the signal set ends with the servers, and the signal has its default action then, while the log still waits. Class: a window between a resource and the handler that protects it, the same as at the start. Change: the signals are blocked before the signal set ends. The wait after a graceful stop ends with logUntil, also with a grace time of a second. Evidence: `gate process: the lines of a stop wait ...` sends a second SIGTERM; without the change the process has ended by a signal. Why it works: a blocked signal waits until the process has ended by itself.

--- a/src/programs/lhub_gate.cpp
+++ b/src/programs/lhub_gate.cpp
@@ -79,6 +79,7 @@
     });
     const bool ended = runToEnd(context, clock);
     logUntil = shell.logUntil;
+    maskStopSignals(SIG_BLOCK); // Without the signal set, a further signal would end the process before its log is read.
     return ended ? 0 : ExitFailed;
 }
 
@@ -88,7 +89,8 @@
     openLog();
     time_point logUntil {};
     const int exitCode = serveUntilStopped(settings, path, clock, logUntil);
-    closeLog(clock, std::max(logUntil, clock.now() + LogCloseTime)); // All sockets are closed: nobody else waits for this.
+    // All sockets are closed: nobody else waits for this.
+    closeLog(clock, logUntil == time_point {} ? clock.now() + LogCloseTime : logUntil);
     return exitCode;
 }
 
--- a/tests/test_gate_process.cpp
+++ b/tests/test_gate_process.cpp
@@ -105,14 +105,16 @@
     CHECK(log.find("event=stopped ") != std::string::npos);
 }
 
-/** Waits until a port accepts connections, or until it does not. */
-static void awaitListening(const tcp::endpoint& port, bool listening)
+/** Waits until a port of a process accepts connections, or until it does not. Fails if the process ends before. */
+static void awaitListening(pid_t pid, const tcp::endpoint& port, bool listening)
 {
     asio::io_context context;
     boost::system::error_code error;
     do {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
         tcp::socket(context).connect(port, error);
+        int status = 0;
+        REQUIRE(::waitpid(pid, &status, WNOHANG) == 0);
     } while ((!error) != listening);
 }
 
@@ -128,10 +130,11 @@
     std::array<char, 4096> part {};
     REQUIRE(::write(log, part.data(), part.size()) == static_cast<ssize_t>(part.size())); // The pipe is full.
     const auto pid = startGateProcess(directory.path);
-    awaitListening(settings.callers, true);
+    awaitListening(pid, settings.callers, true);
     ::kill(pid, SIGTERM);
-    awaitListening(settings.callers, false); // At half of the grace time, when the stop ends.
+    awaitListening(pid, settings.callers, false); // At half of the grace time, when the stop ends.
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    ::kill(pid, SIGTERM); // A second signal must not end the process.
     std::string text;
     int status = 0;
     while (::waitpid(pid, &status, WNOHANG) == 0) {
@@ -153,7 +156,7 @@
     auto settings = makeSettings(60);
     std::ofstream(directory.path / "settings") << settings.text;
     const auto pid = startGateProcess(directory.path);
-    awaitListening(settings.callers, true);
+    awaitListening(pid, settings.callers, true);
     settings.text.replace(settings.text.find("\"grace_s\":60"), 12, "\"grace_s\":1");
     std::ofstream(directory.path / "changed") << settings.text;
     std::filesystem::rename(directory.path / "changed", directory.path / "settings");
