Change: The end of a stop also logs the orders that it cuts off whose callers have left; lines about one request have no part of what is kept for the process

`stopped open=0` did not mean that nothing was cut, and relay_cut and caller_stuck counted as lines about the process. Conclusion: each piece of work that the end of the process cuts has a line.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -13,8 +13,8 @@
 
 namespace lhub {
 
-/** Events whose lines are about one request or connection. */
-static constexpr std::array<std::string_view, 8> RequestEvents { "send", "attempt", "done", "answer", "caller_gone", "caller_rejected", "forecast_missed", "bad_request" };
+/** Events whose lines are about one request or connection, except those that the end of a stop cuts off. */
+static constexpr std::array<std::string_view, 10> RequestEvents { "send", "attempt", "done", "answer", "caller_gone", "caller_rejected", "caller_stuck", "relay_cut", "forecast_missed", "bad_request" };
 /** Events whose lines are about the start or the end of the process. */
 static constexpr std::array<std::string_view, 3> LifecycleEvents { "start", "stop", "stopped" };
 
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -20,7 +20,7 @@
 static constexpr double AcceptShare = 0.5;
 /** Share of the grace time by which the response to each request must be known; the rest is for writing it. */
 static constexpr double RespondShare = 0.88;
-/** Share of the grace time after which the process ends, even with connections open, unless it was paused until then. */
+/** Share of the grace time after which the process ends, even with connections open; one check later if it was paused until then. */
 static constexpr double EndShare = 0.95;
 /** Share of the grace time until which the process waits for the reader of its log, after all else has ended. */
 static constexpr double LogShare = 0.98;
@@ -256,7 +256,7 @@
     }
 }
 
-/** Logs each request that the end of the process cuts off. */
+/** Logs each request that the end of the process cuts off, also those whose callers have left. */
 static void logCutRequests(const gate_shell& shell)
 {
     for (const auto& [id, exchange] : shell.exchanges) {
@@ -267,6 +267,10 @@
         }
         logEvent("cut_by_stop", fields, shell.clock.now());
     }
+    for (const auto& attempt : shell.orphanedAttempts) {
+        if (!attempt->endReported)
+            logEvent("cut_by_stop", { { "caller", "gone" }, { "endpoint", attempt->command.endpoint } }, shell.clock.now());
+    }
 }
 
 /** Whether an endpoint is at work on a request that must not be repeated and whose caller has left. */
