Fix: A late signal counts from its arrival also when the connections were checked after the pause

Cause: on waking, the timer of the check can run before the handler of the signal, and hides the pause. Class: a check by the clock that assumes an order of handlers. Change: the check before the last one counts. A stop on time begins at most 500 ms early in its count. Evidence: the test has both orders now; the new one fails without the change. `a stop that wakes late ...` takes its times from the state, since the count may begin earlier. Why it works: between two checks the signal handler has had its turn, since a check waits at least 250 ms.

--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -183,7 +183,7 @@
 static asio::awaitable<void> sweep(gate_shell& shell)
 {
     while (true) {
-        shell.sweptAt = shell.clock.now();
+        shell.sweptBefore = std::exchange(shell.sweptAt, shell.clock.now());
         co_await pauseFor(SweepInterval);
         sweepCallers(shell);
         sweepIdleConnections(shell);
@@ -283,7 +283,8 @@
 static time_point earliestSignalTime(const gate_shell& shell)
 {
     const auto now = shell.clock.now();
-    return shell.sweptAt == time_point {} ? now : std::min(now, shell.sweptAt + SweepInterval);
+    // The last check may have been made after the pause, before the signal.
+    return shell.sweptBefore == time_point {} ? now : std::min(now, shell.sweptBefore + SweepInterval);
 }
 
 asio::awaitable<void> stopGracefully(gate_shell& shell)
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -193,6 +193,7 @@
     std::optional<tcp::acceptor> lookupAcceptor; ///< For look-ups.
     std::optional<tcp::acceptor> metricsAcceptor; ///< For metrics.
     time_point sweptAt {}; ///< When all connections were last checked for time-outs; the epoch before the first time.
+    time_point sweptBefore {}; ///< When that was done the time before; the epoch before the second time.
     bool stopping = false; ///< A graceful stop began.
     time_point logUntil {}; ///< Until when the end of the process may wait for the reader of the log; the epoch before a graceful stop.
 
--- a/tests/test_serve.cpp
+++ b/tests/test_serve.cpp
@@ -702,9 +702,9 @@
     runUntil(*rig, [&] { return runCount(*rig, "open") == 1; });
     asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
     runUntil(*rig, [&] { return rig->gate->stopping; });
-    const auto began = rig->clock.now();
-    runUntil(*rig, [&] { return rig->clock.now() >= began + milliseconds(1600); });
-    std::this_thread::sleep_for(milliseconds(380)); // The response is due at 1,760 ms, the end at 1,900 ms.
+    const auto due = *rig->gate->state.respondUntil;
+    runUntil(*rig, [&] { return rig->clock.now() >= due - milliseconds(160); });
+    std::this_thread::sleep_for(milliseconds(380)); // The end is 140 ms after the time at which the response is due.
     error_code error;
     const auto received = receivedAfterStop(*rig, kept, error);
     CHECK(received.find("HTTP/1.1 502") == 0);
@@ -713,12 +713,15 @@
 // Guards against a stop that lasts beyond its SIGKILL because the process was paused when SIGTERM arrived.
 TEST_CASE("serve: the grace time of a stop whose signal is handled late counts from its arrival")
 {
+    const bool checkedBefore = GENERATE(false, true); // Whether the process checks its connections after the pause, before it handles the signal.
     auto rig = makeRig(1);
-    runUntil(*rig, [&] { return rig->gate->sweptAt != time_point {}; });
+    runUntil(*rig, [&] { return rig->gate->sweptBefore != time_point {}; });
     rig->gate->settings.bounds.stopGrace = seconds(3);
-    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
     const auto pausedAt = rig->clock.now();
     std::this_thread::sleep_for(milliseconds(1000));
+    if (checkedBefore)
+        runUntil(*rig, [&] { return rig->gate->sweptAt > pausedAt; });
+    asio::co_spawn(rig->context, stopGracefully(*rig->gate), asio::detached);
     runUntil(*rig, [&] { return rig->gate->stopping; });
     // The last sign of life was before the pause, and comes every 250 ms; responses are due at 0.88 of the grace time.
     CHECK(rig->gate->state.respondUntil <= pausedAt + milliseconds(250 + 2640));
