--- a/src/log/log_type.h
+++ b/src/log/log_type.h
@@ -26,7 +26,7 @@
 inline constexpr double LogBurstLines = 400;
 /** Sustained rate, in lines per second; about 5 times the requests that a VM usually gets in a second. */
 inline constexpr double LogLinesPerSecond = 200;
-/** Tokens that lines about requests leave to others. */
+/** Tokens that are reserved for lines about the process. */
 inline constexpr double ProcessLineTokens = 100;
 
 /** Token bucket that limits the rate of lines; one token per line. */
@@ -37,10 +37,10 @@
 
 /** Most bytes of lines that wait while nobody reads the log: about half a minute of lines at the usual rate. */
 inline constexpr std::size_t MaxBacklogBytes = 524'288;
-/** Bytes of it that lines about requests leave to others. */
+/** Part of it that is reserved for lines about the process, its start and its end. */
 inline constexpr std::size_t ProcessBacklogBytes = 65'536;
 
-/** Bytes of it that lines about the process leave to those about its start and end. */
+/** Part of that which is reserved for lines about the start and end of the process. */
 inline constexpr std::size_t LifecycleBacklogBytes = 4096;
 
 /** Lines that wait to be written, since the reader of the log is slower than the process. */
--- a/src/serve/serve_control.cpp
+++ b/src/serve/serve_control.cpp
@@ -273,7 +273,7 @@
     }
 }
 
-/** Whether an endpoint is at work on a request that must not be repeated and whose caller has left. */
+/** Whether an attempt is open for a request that must not be repeated and whose caller has left. */
 static bool hasOrphanedWork(const gate_shell& shell)
 {
     return std::any_of(shell.orphanedAttempts.begin(), shell.orphanedAttempts.end(), [](const auto& attempt) { return !attempt->endReported; });
--- a/src/serve/serve_func.h
+++ b/src/serve/serve_func.h
@@ -12,7 +12,7 @@
 
 asio::awaitable<void> pauseFor(milliseconds span);
 
-/** Runs a coroutine. An exception that ends it is logged with the name of the task. */
+/** Starts a coroutine that nothing waits for. An exception that ends it is logged with the name of the task. */
 void spawn(gate_shell& shell, std::string_view task, asio::awaitable<void> work);
 
 /** Sends the request to the endpoint, reads its response and tells the reducer how the attempt ended. */
@@ -47,7 +47,7 @@
 /** Whether the caller has closed its sending side, or reset the connection, and nothing is left to read. Asks the kernel, since the process may be behind. */
 bool hasDisconnected(caller_connection& caller);
 
-/** Whether bytes of a request have arrived that is not in the queue yet. Asks the kernel, since the process may be behind. */
+/** Whether a part of a request, or all of it, has arrived that is not in the queue yet. Asks the kernel, since the process may be behind. */
 bool isReceiving(caller_connection& caller);
 
 /** Closes a connection with a reset, so that a response in progress cannot look complete. */
--- a/src/serve/serve_type.h
+++ b/src/serve/serve_type.h
@@ -121,13 +121,13 @@
     std::deque<std::shared_ptr<gate_exchange>> queue; ///< Requests whose response is not written yet, in the order of arrival.
     asio::steady_timer changed; ///< Condition variable of the two coroutines: cancelled by signalChange().
     time_point acceptedAt {}; ///< When the connection was accepted.
-    time_point lingerUntil = time_point::max(); ///< sweepCallers() closes the connection after this, once its caller has acknowledged all or is silent for the idle time; set after the last response.
+    time_point lingerUntil = time_point::max(); ///< sweepCallers() closes the connection after this, once its caller has acknowledged all, and in any case the idle time later; set after the last response.
     time_point readTimeoutAt {}; ///< sweepCallers() closes the connection after this, unless a request is open.
     time_point writeTimeoutAt = time_point::max(); ///< sweepCallers() resets the connection after this, since the caller reads nothing; set while a response is written.
     std::uint64_t reservedBytes = 0; ///< Part of resourceLimits.bodyBytes that is reserved for the body being read.
     bool readerDone = false; ///< No further request will be read.
     bool closing = false; ///< To be closed once the queued requests are answered.
-    unsigned rejectStatus = 0; ///< HTTP status for a request that could not be read or may be under way, sent after the queued responses; 0 for none.
+    unsigned rejectStatus = 0; ///< HTTP status for a request that could not be read, or 408 when a stop ends an idle connection; sent after the queued responses; 0 for none.
 
     caller_connection(tcp::socket socket, const asio::any_io_executor& executor)
         : socket(std::move(socket))
