--- /dev/null
+++ b/review/standin-2/main.cpp
@@ -0,0 +1,18 @@
+/** @file main.cpp Runs one case of the second review: NAME RECORD-FILE, from the root of the repository. */
+#include "world.h"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    const std::string name = argc == 3 ? argv[1] : "";
+    if (name.empty()) {
+        std::cerr << "usage: NAME RECORD-FILE\n";
+        return 2;
+    }
+    review::openRecord(argv[2]);
+    if (name == "unreadable-entry")
+        return review::runUnreadableEntry();
+    std::cerr << "no such case: " << name << "\n";
+    return 2;
+}
